all: serve a call by the two lists, thin

The whole path stands: an operator applies two lists, each node checks and follows them, and a customer's call is allowed, routed, run and answered by them.

--- /dev/null
+++ b/cmd/lavenderdeal/main.go
@@ -0,0 +1,105 @@
+// Command lavenderdeal distributes the configuration of a service mesh: the
+// node beside each backend server, and the operators' commands.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	jsonhandler "github.com/apex/log/handlers/json"
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Exit codes.
+const (
+	exitOK = iota
+	// exitFailed says that the command did not do what it was asked.
+	exitFailed
+	// exitUsage says that the command line is wrong.
+	exitUsage
+)
+
+// exitError carries the exit code of a failed command.
+type exitError struct {
+	code int
+	err  error
+}
+
+func main() {
+	log.SetHandler(jsonhandler.New(os.Stderr))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run executes one command line and returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := rootCommand(stdout, stderr)
+	if err := root.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return exitOK
+		}
+		fmt.Fprintln(stderr, "lavenderdeal:", err)
+		return exitUsage
+	}
+	err := root.Run(ctx)
+	var failed *exitError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, flag.ErrHelp):
+		return exitUsage
+	case errors.As(err, &failed):
+		fmt.Fprintln(stderr, "lavenderdeal:", failed.err)
+		return failed.code
+	}
+	fmt.Fprintln(stderr, "lavenderdeal:", err)
+	return exitFailed
+}
+
+func rootCommand(stdout, stderr io.Writer) *ffcli.Command {
+	root := &ffcli.Command{
+		Name:       "lavenderdeal",
+		ShortUsage: "lavenderdeal COMMAND [flags]",
+		LongHelp:   "Example:\n  lavenderdeal demo",
+		FlagSet:    newFlags("lavenderdeal", stderr),
+		Subcommands: []*ffcli.Command{
+			nodeCommand(stderr),
+			plansCommand(stdout, stderr),
+			demoCommand(stdout, stderr),
+			standinCommand(stdout, stderr),
+			versionCommand(stdout, stderr),
+		},
+	}
+	root.Exec = needSubcommand
+	return root
+}
+
+func needSubcommand(_ context.Context, args []string) error {
+	if len(args) > 0 {
+		return usageError("no command %q; --help lists the commands", args[0])
+	}
+	return flag.ErrHelp
+}
+
+func newFlags(name string, stderr io.Writer) *flag.FlagSet {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	return flags
+}
+
+func usageError(format string, args ...any) error {
+	return &exitError{code: exitUsage, err: errors.Newf(format, args...)}
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
--- /dev/null
+++ b/core/chunk/chunk.go
@@ -0,0 +1,121 @@
+// Package chunk cuts the two lists into parts that are addressed by their
+// content.
+//
+// # Chunks
+//
+// Each entry of a list belongs to the bucket that the hash of its name picks,
+// and each bucket is one [Chunk]. A change of one entry changes one chunk. The
+// number of buckets is a power of two and follows the length of the list with
+// hysteresis, so that it rarely changes.
+//
+//	chunks, err := chunk.SplitCustomers(list, 0)
+//	hashes := chunk.Hashes(chunks)
+package chunk
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lavenderdeal/schema/lists"
+)
+
+const (
+	targetEntries = 128
+	maxBuckets    = 4096
+)
+
+// Chunk is an immutable part of a list.
+type Chunk struct {
+	// Hash is the SHA-256 of Data in lower-case hex.
+	Hash string
+	// Data is the part as a JSON document of the list's own schema.
+	Data []byte
+}
+
+// Of returns the chunk of some data.
+func Of(data []byte) Chunk {
+	sum := sha256.Sum256(data)
+	return Chunk{Hash: hex.EncodeToString(sum[:]), Data: data}
+}
+
+// Hashes returns the hash of each chunk in order.
+func Hashes(chunks []Chunk) []string {
+	hashes := make([]string, len(chunks))
+	for i, c := range chunks {
+		hashes[i] = c.Hash
+	}
+	return hashes
+}
+
+// SplitCustomers cuts the list of customers. The number of buckets that the
+// last version had keeps the new number steady; 0 when there is none.
+func SplitCustomers(list lists.CustomerList, previousBuckets int) ([]Chunk, error) {
+	n := Buckets(len(list.Customers), previousBuckets)
+	parts := make([]lists.CustomerList, n)
+	for i := range parts {
+		parts[i].Customers = []lists.Customer{}
+	}
+	for _, c := range list.Customers {
+		part := &parts[bucketOf(c.Name, n)]
+		part.Customers = append(part.Customers, c)
+	}
+	for i := range parts {
+		slices.SortFunc(parts[i].Customers, func(a, b lists.Customer) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return encode(parts)
+}
+
+// SplitPlans cuts the list of plans; see [SplitCustomers].
+func SplitPlans(list lists.PlanList, previousBuckets int) ([]Chunk, error) {
+	n := Buckets(max(len(list.Plans), len(list.Services)), previousBuckets)
+	parts := make([]lists.PlanList, n)
+	for i := range parts {
+		parts[i].Plans, parts[i].Services = []lists.Plan{}, []lists.Service{}
+	}
+	for _, p := range list.Plans {
+		part := &parts[bucketOf(p.Name, n)]
+		part.Plans = append(part.Plans, p)
+	}
+	for _, s := range list.Services {
+		part := &parts[bucketOf(s.Name, n)]
+		part.Services = append(part.Services, s)
+	}
+	for i := range parts {
+		slices.SortFunc(parts[i].Plans, func(a, b lists.Plan) int { return cmp.Compare(a.Name, b.Name) })
+		slices.SortFunc(parts[i].Services, func(a, b lists.Service) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return encode(parts)
+}
+
+// Buckets returns the number of buckets for a list of n entries.
+func Buckets(n, previous int) int {
+	buckets := max(previous, 1)
+	for buckets < maxBuckets && n > 2*targetEntries*buckets {
+		buckets *= 2
+	}
+	for buckets > 1 && 2*n < targetEntries*buckets {
+		buckets /= 2
+	}
+	return buckets
+}
+
+func bucketOf(name string, n int) int {
+	return int(xxhash.Sum64String(name) % uint64(n))
+}
+
+func encode[T any](parts []T) ([]Chunk, error) {
+	chunks := make([]Chunk, len(parts))
+	for i := range parts {
+		data, err := json.Marshal(parts[i])
+		if err != nil {
+			return nil, err
+		}
+		chunks[i] = Of(data)
+	}
+	return chunks, nil
+}
--- /dev/null
+++ b/core/plans/build.go
@@ -0,0 +1,119 @@
+package plans
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"lavenderdeal/core/priority"
+	"lavenderdeal/schema/lists"
+)
+
+// Fault is one thing wrong with the content of the lists.
+type Fault struct {
+	// List is customers or plans.
+	List string
+	// Field is the path to the value, such as "plans[2].uses[0].service".
+	Field   string
+	Message string
+}
+
+// Build checks both lists and returns the version, or every fault. The result
+// depends on the content alone, so that all nodes agree on it.
+func Build(number uint64, customers lists.CustomerList, plans lists.PlanList) (*Version, []Fault) {
+	b := builder{
+		version: &Version{
+			number:    number,
+			customers: make(map[[sha256.Size]byte]customer, len(customers.Customers)),
+			planOf:    make(map[string]string, len(customers.Customers)),
+			services:  make(map[string]lists.Service, len(plans.Services)),
+			plans:     make(map[string]map[string]use, len(plans.Plans)),
+		},
+	}
+	b.addServices(plans.Services)
+	b.addPlans(plans.Plans)
+	b.addCustomers(customers.Customers)
+	if len(b.faults) > 0 {
+		return nil, b.faults
+	}
+	return b.version, nil
+}
+
+type builder struct {
+	version *Version
+	faults  []Fault
+}
+
+func (b *builder) fault(list, field, format string, args ...any) {
+	b.faults = append(b.faults, Fault{List: list, Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+func (b *builder) addServices(services []lists.Service) {
+	for i, service := range services {
+		field := fmt.Sprintf("services[%d]", i)
+		if _, ok := b.version.services[service.Name]; ok {
+			b.fault("plans", field+".name", "service %s is listed twice", service.Name)
+		}
+		if service.Timeout <= 0 {
+			b.fault("plans", field+".timeout", "timeout %s is not positive", service.Timeout)
+		}
+		b.version.services[service.Name] = service
+	}
+}
+
+func (b *builder) addPlans(plans []lists.Plan) {
+	for i, plan := range plans {
+		field := fmt.Sprintf("plans[%d]", i)
+		if _, ok := b.version.plans[plan.Name]; ok {
+			b.fault("plans", field+".name", "plan %s is listed twice", plan.Name)
+		}
+		uses := make(map[string]use, len(plan.Uses))
+		for j, u := range plan.Uses {
+			b.addUse(uses, u, fmt.Sprintf("%s.uses[%d]", field, j))
+		}
+		b.version.plans[plan.Name] = uses
+	}
+}
+
+func (b *builder) addUse(uses map[string]use, u lists.Use, field string) {
+	if _, ok := b.version.services[u.Service]; !ok {
+		b.fault("plans", field+".service", "service %s is not listed", u.Service)
+	}
+	if _, ok := uses[u.Service]; ok {
+		b.fault("plans", field+".service", "service %s is used twice by this plan", u.Service)
+	}
+	p, err := priority.Parse(string(u.Priority))
+	if err != nil {
+		b.fault("plans", field+".priority", "%v", err)
+	}
+	uses[u.Service] = use{Use: u, priority: p}
+}
+
+func (b *builder) addCustomers(customers []lists.Customer) {
+	for i, c := range customers {
+		if _, ok := b.version.planOf[c.Name]; ok {
+			b.fault("customers", fmt.Sprintf("customers[%d].name", i), "customer %s is listed twice", c.Name)
+		}
+		b.version.planOf[c.Name] = c.Plan
+		if _, ok := b.version.plans[c.Plan]; !ok {
+			b.fault("customers", fmt.Sprintf("customers[%d].plan", i), "plan %s is not listed", c.Plan)
+		}
+		for j, text := range c.KeyHashes {
+			b.addKey(c, text, i, j)
+		}
+	}
+}
+
+func (b *builder) addKey(c lists.Customer, text string, i, j int) {
+	var hash [sha256.Size]byte
+	if n, err := hex.Decode(hash[:], []byte(text)); err != nil || n != len(hash) {
+		b.fault("customers", fmt.Sprintf("customers[%d].keyHashes[%d]", i, j), "not a SHA-256 in hex")
+		return
+	}
+	if other, ok := b.version.customers[hash]; ok {
+		b.fault("customers", fmt.Sprintf("customers[%d].keyHashes[%d]", i, j), "customer %s has the same key", other.name)
+	}
+	b.version.customers[hash] = customer{name: c.Name, plan: c.Plan}
+}
+
+func (f Fault) String() string { return f.List + ": " + f.Field + ": " + f.Message }
--- /dev/null
+++ b/core/priority/priority.go
@@ -0,0 +1,58 @@
+// Package priority names the ranks of calls.
+//
+// Lower values are served first:
+//
+//	for p := range priority.All() {
+//		fmt.Println(p)
+//	}
+package priority
+
+import (
+	"iter"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Priority is the rank of a call.
+type Priority uint8
+
+// The priorities, the most urgent first.
+const (
+	Urgent Priority = iota
+	High
+	Normal
+	Bulk
+	// Count is the number of priorities.
+	Count
+)
+
+var names = [Count]string{"urgent", "high", "normal", "bulk"}
+
+// Parse reads the name of a priority.
+func Parse(name string) (Priority, error) {
+	for p, known := range names {
+		if name == known {
+			return Priority(p), nil
+		}
+	}
+	return 0, errors.Newf("priority %q: want urgent, high, normal or bulk", name)
+}
+
+// All yields the priorities, the most urgent first.
+func All() iter.Seq[Priority] {
+	return func(yield func(Priority) bool) {
+		for p := Urgent; p < Count; p++ {
+			if !yield(p) {
+				return
+			}
+		}
+	}
+}
+
+func (p Priority) String() string {
+	if p < Count {
+		return names[p]
+	}
+	return "priority" + strconv.Itoa(int(p))
+}
--- /dev/null
+++ b/internal/calls/calls.go
@@ -0,0 +1,256 @@
+// Package calls takes a call from its caller to its backend server and the
+// answer back.
+//
+// # The path
+//
+// The first node of a call is an [Entry]: it finds out who is calling, what the
+// plan allows, and which backend server is asked. The node of that server has a
+// [Runner]: it admits the call, runs it and sends the answer back whole. When
+// the chosen server is the node's own, the Entry asks its Runner directly.
+//
+// Each outcome is an answer, or an error that carries a verdict.
+package calls
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"io"
+	mathrand "math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lavenderdeal/core/choose"
+	"lavenderdeal/core/fleet"
+	"lavenderdeal/core/plans"
+	"lavenderdeal/core/priority"
+	"lavenderdeal/core/verdict"
+	"lavenderdeal/internal/inforce"
+	"lavenderdeal/internal/metrics"
+	"lavenderdeal/internal/relay"
+	"lavenderdeal/internal/secret"
+	"lavenderdeal/io/caller"
+	"lavenderdeal/io/peercall"
+	"lavenderdeal/schema/messages"
+)
+
+const (
+	// maxDepth is the longest chain of calls that is served.
+	maxDepth    = 16
+	maxAttempts = 3
+	// versionWait is how long a call waits for the version under which it was
+	// decided.
+	versionWait = 500 * time.Millisecond
+	// maxReplay is the longest body that is kept for another attempt.
+	maxReplay = 64 << 10
+)
+
+// Entry is the first node of a call.
+type Entry struct {
+	plans   *inforce.Plans
+	view    *atomic.Pointer[fleet.View]
+	runner  *Runner
+	peers   *peercall.Client
+	key     secret.Key
+	metrics *metrics.Set
+
+	// mu guards chooser and is never held during a call.
+	mu      sync.Mutex
+	chooser choose.Chooser
+}
+
+// NewEntry returns an entry.
+func NewEntry(held *inforce.Plans, view *atomic.Pointer[fleet.View], runner *Runner, peers *peercall.Client, key secret.Key, m *metrics.Set) *Entry {
+	return &Entry{plans: held, view: view, runner: runner, peers: peers, key: key, metrics: m}
+}
+
+// ServeHTTP answers a call of an outside caller or of the own backend server.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	e.metrics.Add("callsEntered", 1)
+	request, err := caller.Parse(r)
+	if err != nil {
+		e.refuse(w, err, request.ID)
+		return
+	}
+	call, err := e.decide(r.Context(), request, r)
+	if err != nil {
+		e.refuse(w, err, request.ID)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(call.TimeoutMillis)*time.Millisecond)
+	defer cancel()
+	answer, err := e.attempt(ctx, call, r)
+	if err != nil {
+		e.refuse(w, err, call.Id)
+		return
+	}
+	defer answer.Body.Close()
+	answer.Header.Set(caller.HeaderRequestID, call.Id)
+	answer.Header.Set(caller.HeaderVerdict, verdict.Ran{}.String())
+	relay.Answer(w, answer)
+	e.metrics.Add("callsAnswered", 1)
+	e.metrics.ObserveCall(priority.Priority(call.Priority), call.Customer, time.Since(started))
+}
+
+func (e *Entry) refuse(w http.ResponseWriter, err error, id string) {
+	v := verdict.Of(err)
+	e.metrics.Add("callsRefused", 1)
+	e.metrics.Add("verdict."+v.String(), 1)
+	e.metrics.Add("rule."+verdict.Rule(v), 1)
+	caller.Refuse(w, v, id)
+}
+
+// decide finds out who is calling and what the plan allows.
+func (e *Entry) decide(ctx context.Context, request caller.Request, r *http.Request) (messages.Call, error) {
+	wanted := plans.Request{Key: request.Key, Service: request.Service, Method: r.Method, Path: r.URL.Path}
+	version := e.plans.Get()
+	if version == nil {
+		return messages.Call{}, verdict.RefuseFor("notReady", "this node has no version of the plans yet", time.Second)
+	}
+	call := messages.Call{Id: request.ID, Service: request.Service}
+	var decision plans.Decision
+	remaining := time.Duration(0)
+	if request.Chain != "" {
+		chain, err := e.openChain(request.Chain)
+		if err != nil {
+			return call, err
+		}
+		version, err = e.atLeast(ctx, chain.Call.Version)
+		if err != nil {
+			return call, err
+		}
+		if chain.Call.Depth+1 > maxDepth {
+			return call, verdict.Refuse("tooDeep", "the chain of calls is too long")
+		}
+		decision = version.DecideFor(chain.Call.Customer, wanted)
+		call.Id, call.Depth = chain.Call.Id, chain.Call.Depth+1
+		remaining = time.Until(chain.Deadline)
+		if remaining <= 0 {
+			return call, verdict.Refuse("deadlinePassed", "the deadline of the chain of calls has passed")
+		}
+	} else {
+		decision = version.Decide(wanted)
+	}
+	if call.Id == "" {
+		call.Id = newID()
+	}
+	switch d := decision.(type) {
+	case plans.Refused:
+		return call, verdict.Refuse(d.Rule, d.Detail)
+	case plans.Allowed:
+		call.Customer, call.Priority, call.Version = d.Customer, uint8(d.Priority), version.Number()
+		call.TimeoutMillis = shortest(d.Timeout, request.Timeout, remaining).Milliseconds()
+	}
+	return call, nil
+}
+
+func (e *Entry) atLeast(ctx context.Context, number uint64) (*plans.Version, error) {
+	return atLeast(ctx, e.plans, number)
+}
+
+func atLeast(ctx context.Context, held *inforce.Plans, number uint64) (*plans.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, versionWait)
+	defer cancel()
+	version, err := held.AtLeast(ctx, number)
+	if err != nil {
+		return nil, verdict.RefuseFor("versionBehind", "this node has not yet the version of the plans under which the call was decided", time.Second)
+	}
+	return version, nil
+}
+
+func (e *Entry) openChain(text string) (messages.Chain, error) {
+	return openChain(e.key, text)
+}
+
+// attempt asks servers until one answers, or until the verdict or the rules of
+// retries forbid another attempt.
+func (e *Entry) attempt(ctx context.Context, call messages.Call, r *http.Request) (*http.Response, error) {
+	body, replayable, err := replayBody(r)
+	if err != nil {
+		return nil, verdict.Refuse("bodyBroken", err.Error())
+	}
+	var tried []string
+	for {
+		answer, id, err := e.once(ctx, call, r, body(), tried)
+		if err == nil {
+			return answer, nil
+		}
+		tried = append(tried, id)
+		_, notRun := verdict.Of(err).(verdict.NotRun)
+		if id == "" || !notRun || !replayable || len(tried) >= maxAttempts || call.Depth > 0 {
+			return nil, err
+		}
+		e.metrics.Add("callsRetried", 1)
+	}
+}
+
+// once asks one server. The id is that of the server, or "" when none was found.
+func (e *Entry) once(ctx context.Context, call messages.Call, r *http.Request, body io.Reader, tried []string) (*http.Response, string, error) {
+	view := e.view.Load()
+	random := [2]float64{mathrand.Float64(), mathrand.Float64()}
+	e.mu.Lock()
+	server, ok := e.chooser.Pick(view, call.Service, tried, random)
+	if ok {
+		e.chooser.Sent(server.Id)
+	}
+	e.mu.Unlock()
+	if !ok {
+		return nil, "", verdict.RefuseFor("noServer", "no backend server of "+call.Service+" is known to take calls", time.Second)
+	}
+	var load *messages.Load
+	var answer *http.Response
+	var err error
+	if server.Id == view.Self().Id {
+		answer, err = e.runner.Do(ctx, call, r, body)
+	} else {
+		answer, load, err = e.peers.Do(ctx, server.Call, call, r, body)
+	}
+	e.mu.Lock()
+	e.chooser.Answered(server.Id, load)
+	e.mu.Unlock()
+	return answer, server.Id, err
+}
+
+// replayBody returns a function that gives the body for each attempt. A body
+// that is too long to keep can be given once only.
+func replayBody(r *http.Request) (body func() io.Reader, replayable bool, err error) {
+	if r.ContentLength < 0 || r.ContentLength > maxReplay {
+		return func() io.Reader { return r.Body }, false, nil
+	}
+	if r.ContentLength == 0 {
+		return func() io.Reader { return http.NoBody }, true, nil
+	}
+	data := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, data); err != nil {
+		return nil, false, err
+	}
+	return func() io.Reader { return newBytesReader(data) }, true, nil
+}
+
+func shortest(first time.Duration, others ...time.Duration) time.Duration {
+	for _, d := range others {
+		if d > 0 {
+			first = min(first, d)
+		}
+	}
+	return first
+}
+
+func newID() string {
+	var id [12]byte
+	_, _ = rand.Read(id[:])
+	return base64.RawURLEncoding.EncodeToString(id[:])
+}
+
+func sealChain(key secret.Key, chain messages.Chain) string {
+	text, err := json.Marshal(chain)
+	if err != nil {
+		return ""
+	}
+	encoded := base64.RawURLEncoding.EncodeToString(text)
+	return encoded + "." + key.Sign("chain", encoded)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,223 @@
+// Package node assembles the process beside one backend server.
+//
+//	n, err := node.Start(cfg)
+//	if err != nil {
+//		return err
+//	}
+//	<-signals
+//	err = n.Stop(ctx)
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"lavenderdeal/core/explain"
+	"lavenderdeal/core/fleet"
+	"lavenderdeal/internal/calls"
+	"lavenderdeal/internal/control"
+	"lavenderdeal/internal/httpserver"
+	"lavenderdeal/internal/inforce"
+	"lavenderdeal/internal/metrics"
+	"lavenderdeal/internal/secret"
+	"lavenderdeal/io/operator"
+	"lavenderdeal/io/peer"
+	"lavenderdeal/io/peercall"
+	"lavenderdeal/io/platform"
+	"lavenderdeal/io/server"
+	"lavenderdeal/schema/messages"
+	"lavenderdeal/schema/settings"
+)
+
+// Release is the release of the program.
+const Release = "0.1.0"
+
+const ringLength = 1024
+
+// Node is one running node.
+type Node struct {
+	cfg     settings.Settings
+	log     log.Interface
+	metrics *metrics.Set
+	ring    *explain.Ring
+	plans   inforce.Plans
+	view    atomic.Pointer[fleet.View]
+
+	endpoint *peer.Endpoint
+	loop     *control.Loop
+	runner   *calls.Runner
+	closers  []func()
+
+	callerServer, callServer, operatorServer *httpserver.Server
+
+	cancel context.CancelFunc
+	group  errgroup.Group
+}
+
+// Option changes a node while it is built.
+type Option func(*Node)
+
+// WithLog sets where the node logs.
+func WithLog(l log.Interface) Option { return func(n *Node) { n.log = l } }
+
+// Start starts a node. It returns once the node listens; the node is not yet
+// ready for calls then.
+func Start(cfg settings.Settings, opts ...Option) (*Node, error) {
+	n := &Node{cfg: cfg, log: log.Log, metrics: metrics.New(), ring: explain.NewRing(ringLength)}
+	for _, opt := range opts {
+		opt(n)
+	}
+	if err := n.listen(); err != nil {
+		n.close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.loop.Start(messages.Member{
+		Id:          newID(),
+		Zone:        cfg.Zone,
+		Region:      cfg.Region,
+		Service:     cfg.Service,
+		Peer:        n.endpoint.Addr(),
+		Call:        n.callServer.Addr(),
+		Slots:       cfg.Server.Slots,
+		Incarnation: 1,
+		State:       messages.MemberStateStarting,
+	})
+	n.group.Go(func() error { return n.loop.Run(ctx) })
+	n.group.Go(func() error { return n.becomeReady(ctx) })
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	key := secret.New(n.cfg.PeerKey)
+	platformClient := platform.New(n.cfg.Platform.Address,
+		platform.WithToken(n.cfg.Platform.Token), platform.WithTimeout(n.cfg.Platform.Timeout.Std()))
+	serverClient := server.New(n.cfg.Server.Address, n.cfg.Server.Connections)
+	peerClient := peercall.New(key)
+	n.closers = append(n.closers, platformClient.Close, serverClient.Close, peerClient.Close)
+
+	n.loop = &control.Loop{
+		Plans:    &n.plans,
+		View:     &n.view,
+		Platform: platformClient,
+		Ring:     n.ring,
+		Metrics:  n.metrics,
+		Log:      n.log,
+		Seeds:    n.cfg.Peers,
+	}
+	var mux peer.Mux
+	n.loop.Handle(&mux)
+	n.view.Store(&fleet.View{})
+	n.runner = calls.NewRunner(&n.plans, serverClient, n.cfg.Server.Slots, key, n.metrics)
+	entry := calls.NewEntry(&n.plans, &n.view, n.runner, peerClient, key, n.metrics)
+
+	var err error
+	if n.callServer, err = httpserver.Start(n.cfg.Listen.Call, n.runner); err != nil {
+		return err
+	}
+	if n.callerServer, err = httpserver.Start(n.cfg.Listen.Caller, entry); err != nil {
+		return err
+	}
+	handler := &operator.Handler{Status: n.Status, Ring: n.ring, Metrics: n.metrics.Map()}
+	if n.operatorServer, err = httpserver.Start(n.cfg.Listen.Operator, handler); err != nil {
+		return err
+	}
+	if n.endpoint, err = peer.Listen(n.cfg.Listen.Peer, key, &mux); err != nil {
+		return err
+	}
+	n.loop.Endpoint = n.endpoint
+	return nil
+}
+
+func (n *Node) becomeReady(ctx context.Context) error {
+	if _, err := n.plans.AtLeast(ctx, 1); err != nil {
+		return nil
+	}
+	n.loop.SetState(messages.MemberStateReady)
+	return nil
+}
+
+// Addresses returns where the node listens.
+func (n *Node) Addresses() settings.Listen {
+	return settings.Listen{
+		Caller:   n.callerServer.Addr(),
+		Call:     n.callServer.Addr(),
+		Peer:     n.endpoint.Addr(),
+		Operator: n.operatorServer.Addr(),
+	}
+}
+
+// Status returns what the node says of itself.
+func (n *Node) Status() operator.Status {
+	view := n.view.Load()
+	self := view.Self()
+	status := operator.Status{
+		ID: self.Id, Zone: self.Zone, Region: self.Region, Service: self.Service,
+		State: string(self.State), Version: n.plans.Number(), Members: map[string]int{}, Release: Release,
+	}
+	for _, m := range view.Members() {
+		status.Members[string(m.State)]++
+	}
+	return status
+}
+
+// Metrics returns the node's counters and histograms.
+func (n *Node) Metrics() *metrics.Set { return n.metrics }
+
+// Stop leaves the fleet without cutting off a call: it announces that the node
+// leaves, waits until callers have stopped sending, finishes the calls that
+// were accepted and closes. When ctx ends first, what still runs is cut off and
+// the error says so.
+func (n *Node) Stop(ctx context.Context) error {
+	n.loop.SetState(messages.MemberStateLeaving)
+	wait(ctx, n.cfg.Drain.Announce.Std())
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.Drain.Finish.Std())
+	defer cancel()
+	err := errors.CombineErrors(n.callerServer.Shutdown(ctx), n.callServer.Shutdown(ctx))
+	n.close()
+	return errors.Wrap(err, "calls were cut off")
+}
+
+// Kill ends the node at once, as a crash would.
+func (n *Node) Kill() { n.close() }
+
+func (n *Node) close() {
+	if n.cancel != nil {
+		n.cancel()
+	}
+	for _, s := range []*httpserver.Server{n.callerServer, n.callServer, n.operatorServer} {
+		if s != nil {
+			_ = s.Close()
+		}
+	}
+	if n.endpoint != nil {
+		_ = n.endpoint.Close()
+	}
+	_ = n.group.Wait()
+	for _, c := range n.closers {
+		c()
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func newID() string {
+	var id [8]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
--- /dev/null
+++ b/io/peer/peer.go
@@ -0,0 +1,384 @@
+// Package peer carries control messages between nodes: JSON-RPC over TCP
+// connections that stay open.
+//
+// # Messages
+//
+// An [Endpoint] listens for other nodes and keeps the connections to them. Both
+// sides of a connection prove the shared key before the first message. Methods
+// are handled by typed functions:
+//
+//	var mux peer.Mux
+//	peer.Handle(&mux, "gossip", func(ctx context.Context, q messages.Gossip) (messages.Gossip, error) {
+//		return table.Merge(q), nil
+//	})
+//	endpoint, err := peer.Listen(addr, secret.New(key), &mux)
+//	answer, err := peer.Call[messages.Gossip](ctx, endpoint, to, "gossip", question)
+//
+// A connection that breaks fails every open call on it: whether the other side
+// acted on it is not known. Every control message may be sent again.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sync/errgroup"
+
+	"lavenderdeal/internal/secret"
+)
+
+const (
+	dialTimeout      = 1 * time.Second
+	handshakeTimeout = 2 * time.Second
+	// idleLimit is the age at which an unused connection is closed.
+	idleLimit = 2 * time.Minute
+	// maxHandlers bounds the messages of one connection handled at once.
+	maxHandlers = 32
+)
+
+// Mux holds the functions that handle messages, by method. It is filled before
+// Listen and not changed afterwards.
+type Mux struct {
+	handlers map[string]handler
+}
+
+type handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Handle registers the function for a method.
+func Handle[Q, A any](mux *Mux, method string, fn func(context.Context, Q) (A, error)) {
+	if mux.handlers == nil {
+		mux.handlers = make(map[string]handler)
+	}
+	mux.handlers[method] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		var question Q
+		if err := json.Unmarshal(params, &question); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: method + ": " + err.Error()}
+		}
+		return fn(ctx, question)
+	}
+}
+
+// Counts is the traffic of an endpoint since it started.
+type Counts struct {
+	BytesIn, BytesOut uint64
+	// KeyRefused counts connections that did not prove the key.
+	KeyRefused uint64
+	// Malformed counts messages that could not be decoded.
+	Malformed uint64
+	// ByMethod is the number of bytes sent as calls, by method.
+	ByMethod map[string]uint64
+}
+
+// Endpoint is one node's side of the control traffic. It is safe for use by
+// several goroutines at once. Lock order: mu is the only lock.
+type Endpoint struct {
+	key      secret.Key
+	mux      *Mux
+	listener net.Listener
+	addr     netip.AddrPort
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    errgroup.Group
+
+	bytesIn, bytesOut, keyRefused, malformed atomic.Uint64
+
+	mu       sync.Mutex
+	outgoing map[netip.AddrPort]*connection
+	incoming map[*jsonrpc2.Conn]struct{}
+	byMethod map[string]uint64
+	closed   bool
+}
+
+type connection struct {
+	ready    chan struct{}
+	conn     *jsonrpc2.Conn
+	err      error
+	lastUsed time.Time
+}
+
+// Listen starts an endpoint. Port 0 takes any free port; see [Endpoint.Addr].
+func Listen(addr netip.AddrPort, key secret.Key, mux *Mux) (*Endpoint, error) {
+	listener, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	e := &Endpoint{
+		key:      key,
+		mux:      mux,
+		listener: listener,
+		addr:     netip.MustParseAddrPort(listener.Addr().String()),
+		outgoing: make(map[netip.AddrPort]*connection),
+		incoming: make(map[*jsonrpc2.Conn]struct{}),
+		byMethod: make(map[string]uint64),
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.group.Go(e.accept)
+	e.group.Go(e.closeIdle)
+	return e, nil
+}
+
+// Addr returns the address on which the endpoint listens.
+func (e *Endpoint) Addr() netip.AddrPort { return e.addr }
+
+// Counts returns the traffic until now.
+func (e *Endpoint) Counts() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	byMethod := make(map[string]uint64, len(e.byMethod))
+	for method, n := range e.byMethod {
+		byMethod[method] = n
+	}
+	return Counts{
+		BytesIn:    e.bytesIn.Load(),
+		BytesOut:   e.bytesOut.Load(),
+		KeyRefused: e.keyRefused.Load(),
+		Malformed:  e.malformed.Load(),
+		ByMethod:   byMethod,
+	}
+}
+
+// Close ends all connections and waits for the handlers.
+func (e *Endpoint) Close() error {
+	e.cancel()
+	err := e.listener.Close()
+	e.mu.Lock()
+	e.closed = true
+	var open []*jsonrpc2.Conn
+	for conn := range e.incoming {
+		open = append(open, conn)
+	}
+	for _, c := range e.outgoing {
+		select {
+		case <-c.ready:
+			if c.conn != nil {
+				open = append(open, c.conn)
+			}
+		default:
+		}
+	}
+	e.mu.Unlock()
+	for _, conn := range open {
+		_ = conn.Close()
+	}
+	_ = e.group.Wait()
+	return err
+}
+
+// Call sends a question to the node at the address and waits for its answer.
+func Call[A, Q any](ctx context.Context, e *Endpoint, to netip.AddrPort, method string, question Q) (A, error) {
+	var answer A
+	params, err := json.Marshal(question)
+	if err != nil {
+		return answer, errors.Wrapf(err, "encode %s", method)
+	}
+	conn, err := e.connect(ctx, to)
+	if err != nil {
+		return answer, err
+	}
+	e.count(method, len(params))
+	if err := conn.Call(ctx, method, json.RawMessage(params), &answer); err != nil {
+		return answer, errors.Wrapf(err, "%s to %s", method, to)
+	}
+	return answer, nil
+}
+
+func (e *Endpoint) count(method string, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.byMethod[method] += uint64(n)
+}
+
+// connect returns the open connection to a node or opens one. Several callers
+// wait for the same attempt.
+func (e *Endpoint) connect(ctx context.Context, to netip.AddrPort) (*jsonrpc2.Conn, error) {
+	e.mu.Lock()
+	if e.closed {
+		e.mu.Unlock()
+		return nil, errors.New("the endpoint is closed")
+	}
+	c, ok := e.outgoing[to]
+	if !ok {
+		c = &connection{ready: make(chan struct{})}
+		e.outgoing[to] = c
+		e.group.Go(func() error { e.open(c, to); return nil })
+	}
+	c.lastUsed = time.Now()
+	e.mu.Unlock()
+	select {
+	case <-c.ready:
+		return c.conn, c.err
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ctx.Err(), "connect to %s", to)
+	}
+}
+
+func (e *Endpoint) open(c *connection, to netip.AddrPort) {
+	c.conn, c.err = e.dial(to)
+	close(c.ready)
+	if c.err != nil {
+		e.forget(to, c)
+		return
+	}
+	<-c.conn.DisconnectNotify()
+	e.forget(to, c)
+}
+
+func (e *Endpoint) dial(to netip.AddrPort) (*jsonrpc2.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(e.ctx, "tcp", to.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", to)
+	}
+	if err := proveAsClient(raw, e.key); err != nil {
+		_ = raw.Close()
+		return nil, errors.Wrapf(err, "handshake with %s", to)
+	}
+	return e.start(raw), nil
+}
+
+func (e *Endpoint) forget(to netip.AddrPort, c *connection) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.outgoing[to] == c {
+		delete(e.outgoing, to)
+	}
+}
+
+func (e *Endpoint) accept() error {
+	for {
+		raw, err := e.listener.Accept()
+		if err != nil {
+			if e.ctx.Err() != nil {
+				return nil
+			}
+			// Out of file descriptors, for one: wait instead of spinning.
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		e.group.Go(func() error { e.serve(raw); return nil })
+	}
+}
+
+func (e *Endpoint) serve(raw net.Conn) {
+	if err := proveAsServer(raw, e.key); err != nil {
+		if errors.Is(err, errWrongKey) {
+			e.keyRefused.Add(1)
+		}
+		_ = raw.Close()
+		return
+	}
+	conn := e.start(raw)
+	e.mu.Lock()
+	e.incoming[conn] = struct{}{}
+	closed := e.closed
+	e.mu.Unlock()
+	if closed {
+		_ = conn.Close()
+	}
+	<-conn.DisconnectNotify()
+	e.mu.Lock()
+	delete(e.incoming, conn)
+	e.mu.Unlock()
+}
+
+func (e *Endpoint) start(raw net.Conn) *jsonrpc2.Conn {
+	_ = raw.SetDeadline(time.Time{})
+	counted := &countedConn{Conn: raw, endpoint: e}
+	dispatch := &dispatcher{endpoint: e}
+	dispatch.group.SetLimit(maxHandlers)
+	stream := jsonrpc2.NewBufferedStream(counted, limitedCodec{})
+	return jsonrpc2.NewConn(e.ctx, stream, dispatch, jsonrpc2.SetLogger(quiet{}))
+}
+
+func (e *Endpoint) closeIdle() error {
+	ticker := time.NewTicker(idleLimit / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			for _, conn := range e.idle(now) {
+				_ = conn.Close()
+			}
+		}
+	}
+}
+
+func (e *Endpoint) idle(now time.Time) []*jsonrpc2.Conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var idle []*jsonrpc2.Conn
+	for _, c := range e.outgoing {
+		select {
+		case <-c.ready:
+			if c.conn != nil && now.Sub(c.lastUsed) > idleLimit {
+				idle = append(idle, c.conn)
+			}
+		default:
+		}
+	}
+	return idle
+}
+
+// dispatcher runs the handlers of one connection.
+type dispatcher struct {
+	endpoint *Endpoint
+	group    errgroup.Group
+}
+
+// Handle is called by the connection's reader. It blocks while too many
+// handlers run, which holds back the sender.
+func (d *dispatcher) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	d.group.Go(func() error {
+		d.handle(ctx, conn, request)
+		return nil
+	})
+}
+
+func (d *dispatcher) handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	answer, err := d.run(ctx, request)
+	if request.Notif {
+		return
+	}
+	if err == nil {
+		_ = conn.Reply(ctx, request.ID, answer)
+		return
+	}
+	var refusal *jsonrpc2.Error
+	if !errors.As(err, &refusal) {
+		refusal = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+	}
+	if refusal.Code == jsonrpc2.CodeInvalidParams {
+		d.endpoint.malformed.Add(1)
+	}
+	_ = conn.ReplyWithError(ctx, request.ID, refusal)
+}
+
+func (d *dispatcher) run(ctx context.Context, request *jsonrpc2.Request) (answer any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Newf("%s: %v", request.Method, cause)
+		}
+	}()
+	fn, ok := d.endpoint.mux.handlers[request.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + request.Method}
+	}
+	if request.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: request.Method + " has no parameters"}
+	}
+	return fn(ctx, *request.Params)
+}
+
+// quiet drops the log lines of jsonrpc2; failures are counted instead.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/schema/settings/settings.go
@@ -0,0 +1,11 @@
+// Package settings holds the types and the schema of a node's settings.
+package settings
+
+import _ "embed"
+
+//go:generate go tool go-jsonschema --only-models --struct-name-from-title --tags json,yaml -p settings -o settings.gen.go settings.schema.json
+
+// Schema is the JSON Schema of [Settings].
+//
+//go:embed settings.schema.json
+var Schema []byte
