follow, membership: split the control loop in two

One loop follows the versions, the other the membership. They meet in inforce.Plans: membership tells it which version a peer has, follow acts on it.

--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -15,9 +15,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/base64"
-	"encoding/json"
-	"io"
-	mathrand "math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -115,11 +112,11 @@
 	var decision plans.Decision
 	remaining := time.Duration(0)
 	if request.Chain != "" {
-		chain, err := e.openChain(request.Chain)
+		chain, err := openChain(e.key, request.Chain)
 		if err != nil {
 			return call, err
 		}
-		version, err = e.atLeast(ctx, chain.Call.Version)
+		version, err = atLeast(ctx, e.plans, chain.Call.Version)
 		if err != nil {
 			return call, err
 		}
@@ -148,10 +145,6 @@
 	return call, nil
 }
 
-func (e *Entry) atLeast(ctx context.Context, number uint64) (*plans.Version, error) {
-	return atLeast(ctx, e.plans, number)
-}
-
 func atLeast(ctx context.Context, held *inforce.Plans, number uint64) (*plans.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, versionWait)
 	defer cancel()
@@ -162,75 +155,6 @@
 	return version, nil
 }
 
-func (e *Entry) openChain(text string) (messages.Chain, error) {
-	return openChain(e.key, text)
-}
-
-// attempt asks servers until one answers, or until the verdict or the rules of
-// retries forbid another attempt.
-func (e *Entry) attempt(ctx context.Context, call messages.Call, r *http.Request) (*http.Response, error) {
-	body, replayable, err := replayBody(r)
-	if err != nil {
-		return nil, verdict.Refuse("bodyBroken", err.Error())
-	}
-	var tried []string
-	for {
-		answer, id, err := e.once(ctx, call, r, body(), tried)
-		if err == nil {
-			return answer, nil
-		}
-		tried = append(tried, id)
-		_, notRun := verdict.Of(err).(verdict.NotRun)
-		if id == "" || !notRun || !replayable || len(tried) >= maxAttempts || call.Depth > 0 {
-			return nil, err
-		}
-		e.metrics.Add("callsRetried", 1)
-	}
-}
-
-// once asks one server. The id is that of the server, or "" when none was found.
-func (e *Entry) once(ctx context.Context, call messages.Call, r *http.Request, body io.Reader, tried []string) (*http.Response, string, error) {
-	view := e.view.Load()
-	random := [2]float64{mathrand.Float64(), mathrand.Float64()}
-	e.mu.Lock()
-	server, ok := e.chooser.Pick(view, call.Service, tried, random)
-	if ok {
-		e.chooser.Sent(server.Id)
-	}
-	e.mu.Unlock()
-	if !ok {
-		return nil, "", verdict.RefuseFor("noServer", "no backend server of "+call.Service+" is known to take calls", time.Second)
-	}
-	var load *messages.Load
-	var answer *http.Response
-	var err error
-	if server.Id == view.Self().Id {
-		answer, err = e.runner.Do(ctx, call, r, body)
-	} else {
-		answer, load, err = e.peers.Do(ctx, server.Call, call, r, body)
-	}
-	e.mu.Lock()
-	e.chooser.Answered(server.Id, load)
-	e.mu.Unlock()
-	return answer, server.Id, err
-}
-
-// replayBody returns a function that gives the body for each attempt. A body
-// that is too long to keep can be given once only.
-func replayBody(r *http.Request) (body func() io.Reader, replayable bool, err error) {
-	if r.ContentLength < 0 || r.ContentLength > maxReplay {
-		return func() io.Reader { return r.Body }, false, nil
-	}
-	if r.ContentLength == 0 {
-		return func() io.Reader { return http.NoBody }, true, nil
-	}
-	data := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, data); err != nil {
-		return nil, false, err
-	}
-	return func() io.Reader { return newBytesReader(data) }, true, nil
-}
-
 func shortest(first time.Duration, others ...time.Duration) time.Duration {
 	for _, d := range others {
 		if d > 0 {
@@ -245,12 +169,3 @@
 	_, _ = rand.Read(id[:])
 	return base64.RawURLEncoding.EncodeToString(id[:])
 }
-
-func sealChain(key secret.Key, chain messages.Chain) string {
-	text, err := json.Marshal(chain)
-	if err != nil {
-		return ""
-	}
-	encoded := base64.RawURLEncoding.EncodeToString(text)
-	return encoded + "." + key.Sign("chain", encoded)
-}
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	changed chan struct{}
 	wanted  chan struct{}
+	heard   uint64
 }
 
 // Get returns the version in force, or nil when there is none.
@@ -71,7 +72,27 @@
 	}
 }
 
-// Wanted signals that a call waits for a version newer than the one in force.
+// Heard tells that a peer has a version with this number. A number above that of
+// the version in force signals Wanted.
+func (p *Plans) Heard(number uint64) {
+	if number <= p.Number() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard = max(p.heard, number)
+	p.signalLocked()
+}
+
+// Newest returns the highest number that the node has heard of or has in force.
+func (p *Plans) Newest() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.heard, p.Number())
+}
+
+// Wanted signals that somebody has or needs a version newer than the one
+// in force.
 func (p *Plans) Wanted() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -84,16 +105,21 @@
 	if p.Number() >= number && p.current.Load() != nil {
 		return nil, true
 	}
-	select {
-	case p.wantedLocked() <- struct{}{}:
-	default:
-	}
+	p.heard = max(p.heard, number)
+	p.signalLocked()
 	if p.changed == nil {
 		p.changed = make(chan struct{})
 	}
 	return p.changed, false
 }
 
+func (p *Plans) signalLocked() {
+	select {
+	case p.wantedLocked() <- struct{}{}:
+	default:
+	}
+}
+
 func (p *Plans) wantedLocked() chan struct{} {
 	if p.wanted == nil {
 		p.wanted = make(chan struct{}, 1)
--- a/internal/control/control.go
+++ b/internal/membership/membership.go
@@ -1,9 +1,9 @@
-// Package control keeps a node in step with the fleet: it follows the versions
-// of the plans and the membership.
+// Package membership keeps a node's view of the fleet.
 //
-// A [Loop] runs until its context ends. What it finds out is published for the
-// calls: the version in force, and the view of the fleet.
-package control
+// A [Loop] runs until its context ends and publishes a new view after each
+// change. Its messages carry the version in force, so that a node that is behind
+// hears of it.
+package membership
 
 import (
 	"context"
@@ -15,18 +15,14 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"lavenderdeal/core/explain"
 	"lavenderdeal/core/fleet"
-	"lavenderdeal/core/plans"
 	"lavenderdeal/internal/inforce"
 	"lavenderdeal/internal/metrics"
-	"lavenderdeal/internal/publish"
 	"lavenderdeal/io/peer"
 	"lavenderdeal/io/platform"
-	"lavenderdeal/schema/lists"
 	"lavenderdeal/schema/messages"
 	"lavenderdeal/schema/objects"
 )
@@ -34,13 +30,11 @@
 const (
 	gossipPeriod  = 1 * time.Second
 	gossipTimeout = 1 * time.Second
-	watchWait     = 30 * time.Second
-	retryPause    = 500 * time.Millisecond
 	peersPrefix   = "peers/"
 	gossipMethod  = "gossip"
 )
 
-// Loop is the control of one node. Lock order: mu is the only lock.
+// Loop is the membership of one node. Lock order: mu is the only lock.
 type Loop struct {
 	Plans    *inforce.Plans
 	View     *atomic.Pointer[fleet.View]
@@ -86,86 +80,11 @@
 // Run follows the fleet until ctx is done.
 func (l *Loop) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return l.followPlatform(ctx) })
+	group.Go(func() error { l.announcePeer(ctx); return nil })
 	group.Go(func() error { return l.gossipForever(ctx) })
 	return group.Wait()
 }
 
-func (l *Loop) followPlatform(ctx context.Context) error {
-	var revision platform.Revision
-	l.announcePeer(ctx)
-	for ctx.Err() == nil {
-		object, changed, err := l.Platform.Watch(ctx, publish.HeadKey, revision, watchWait)
-		switch {
-		case errors.Is(err, platform.ErrNotFound):
-			sleep(ctx, retryPause)
-		case err != nil:
-			l.Metrics.Add("platformErrors", 1)
-			sleep(ctx, retryPause)
-		case changed:
-			revision = object.Revision
-			if err := l.apply(ctx, object.Value); err != nil {
-				l.record("versionRejected", "head", err.Error())
-				revision = 0
-				sleep(ctx, retryPause)
-			}
-		}
-	}
-	return nil
-}
-
-func (l *Loop) apply(ctx context.Context, value []byte) error {
-	head, err := publish.DecodeHead(value)
-	if err != nil {
-		return err
-	}
-	if head.Version <= l.Plans.Number() {
-		return nil
-	}
-	version, err := l.build(ctx, head)
-	if err != nil {
-		return err
-	}
-	if l.Plans.Set(version) {
-		l.Metrics.Add("versionsApplied", 1)
-		l.record("versionApplied", head.Operation, head.Reason)
-	}
-	return nil
-}
-
-func (l *Loop) build(ctx context.Context, head objects.Head) (*plans.Version, error) {
-	var customers lists.CustomerList
-	var planList lists.PlanList
-	for _, hash := range head.CustomerChunks {
-		object, err := l.Platform.Get(ctx, publish.ChunkPrefix+hash)
-		if err != nil {
-			return nil, err
-		}
-		part, err := publish.DecodeCustomers(object.Value)
-		if err != nil {
-			return nil, err
-		}
-		customers.Customers = append(customers.Customers, part.Customers...)
-	}
-	for _, hash := range head.PlanChunks {
-		object, err := l.Platform.Get(ctx, publish.ChunkPrefix+hash)
-		if err != nil {
-			return nil, err
-		}
-		part, err := publish.DecodePlans(object.Value)
-		if err != nil {
-			return nil, err
-		}
-		planList.Plans = append(planList.Plans, part.Plans...)
-		planList.Services = append(planList.Services, part.Services...)
-	}
-	version, faults := plans.Build(head.Version, customers, planList)
-	if len(faults) > 0 {
-		return nil, errors.Newf("%d faults, first %s", len(faults), faults[0])
-	}
-	return version, nil
-}
-
 // announcePeer writes the node's address for those that come later.
 func (l *Loop) announcePeer(ctx context.Context) {
 	entries, err := l.Platform.List(ctx, peersPrefix)
@@ -245,6 +164,7 @@
 }
 
 func (l *Loop) merge(g messages.Gossip) {
+	l.Plans.Heard(g.Version)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.members == nil {
@@ -274,11 +194,6 @@
 	l.View.Store(fleet.NewView(l.self, members))
 }
 
-func (l *Loop) record(kind, subject, detail string) {
-	l.Ring.Add(explain.Record{At: time.Now(), Kind: kind, Subject: subject, Detail: detail})
-	l.Log.WithField("subject", subject).WithField("detail", detail).Info(kind)
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,9 +22,10 @@
 	"lavenderdeal/core/explain"
 	"lavenderdeal/core/fleet"
 	"lavenderdeal/internal/calls"
-	"lavenderdeal/internal/control"
+	"lavenderdeal/internal/follow"
 	"lavenderdeal/internal/httpserver"
 	"lavenderdeal/internal/inforce"
+	"lavenderdeal/internal/membership"
 	"lavenderdeal/internal/metrics"
 	"lavenderdeal/internal/secret"
 	"lavenderdeal/io/operator"
@@ -51,7 +52,8 @@
 	view    atomic.Pointer[fleet.View]
 
 	endpoint *peer.Endpoint
-	loop     *control.Loop
+	members  *membership.Loop
+	follower *follow.Loop
 	runner   *calls.Runner
 	closers  []func()
 
@@ -80,7 +82,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	n.loop.Start(messages.Member{
+	n.members.Start(messages.Member{
 		Id:          newID(),
 		Zone:        cfg.Zone,
 		Region:      cfg.Region,
@@ -91,7 +93,8 @@
 		Incarnation: 1,
 		State:       messages.MemberStateStarting,
 	})
-	n.group.Go(func() error { return n.loop.Run(ctx) })
+	n.group.Go(func() error { return n.members.Run(ctx) })
+	n.group.Go(func() error { return n.follower.Run(ctx) })
 	n.group.Go(func() error { return n.becomeReady(ctx) })
 	return n, nil
 }
@@ -104,7 +107,7 @@
 	peerClient := peercall.New(key)
 	n.closers = append(n.closers, platformClient.Close, serverClient.Close, peerClient.Close)
 
-	n.loop = &control.Loop{
+	n.members = &membership.Loop{
 		Plans:    &n.plans,
 		View:     &n.view,
 		Platform: platformClient,
@@ -113,8 +116,17 @@
 		Log:      n.log,
 		Seeds:    n.cfg.Peers,
 	}
+	n.follower = &follow.Loop{
+		Plans:    &n.plans,
+		View:     &n.view,
+		Platform: platformClient,
+		Ring:     n.ring,
+		Metrics:  n.metrics,
+		Log:      n.log,
+	}
 	var mux peer.Mux
-	n.loop.Handle(&mux)
+	n.members.Handle(&mux)
+	n.follower.Handle(&mux)
 	n.view.Store(&fleet.View{})
 	n.runner = calls.NewRunner(&n.plans, serverClient, n.cfg.Server.Slots, key, n.metrics)
 	entry := calls.NewEntry(&n.plans, &n.view, n.runner, peerClient, key, n.metrics)
@@ -133,7 +145,7 @@
 	if n.endpoint, err = peer.Listen(n.cfg.Listen.Peer, key, &mux); err != nil {
 		return err
 	}
-	n.loop.Endpoint = n.endpoint
+	n.members.Endpoint, n.follower.Endpoint = n.endpoint, n.endpoint
 	return nil
 }
 
@@ -141,7 +153,7 @@
 	if _, err := n.plans.AtLeast(ctx, 1); err != nil {
 		return nil
 	}
-	n.loop.SetState(messages.MemberStateReady)
+	n.members.SetState(messages.MemberStateReady)
 	return nil
 }
 
@@ -177,7 +189,7 @@
 // were accepted and closes. When ctx ends first, what still runs is cut off and
 // the error says so.
 func (n *Node) Stop(ctx context.Context) error {
-	n.loop.SetState(messages.MemberStateLeaving)
+	n.members.SetState(messages.MemberStateLeaving)
 	wait(ctx, n.cfg.Drain.Announce.Std())
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Drain.Finish.Std())
 	defer cancel()
