peer, peercall, platform: open connections by a given dialer

Measurements and tests cut availability zones off from each other and from the platform; a dialer passed in is where they do it.

--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// Dialer opens connections, as net.Dialer does.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// WithDialer sets how connections are opened.
+func WithDialer(d Dialer) Option {
+	return func(t *http.Transport) { t.DialContext = d.DialContext }
+}
+
 // New returns a client. The name separates it from others in go-zero's tables.
 func New(name string, opts ...Option) *Client {
 	gozero.Setup()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"lavenderdeal/core/fleet"
 	"lavenderdeal/internal/calls"
 	"lavenderdeal/internal/follow"
+	"lavenderdeal/internal/httpclient"
 	"lavenderdeal/internal/httpserver"
 	"lavenderdeal/internal/inforce"
 	"lavenderdeal/internal/membership"
@@ -57,6 +58,9 @@
 	runner   *calls.Runner
 	closers  []func()
 
+	peerOptions []peer.Option
+	transport   []httpclient.Option
+
 	callerServer, callServer, operatorServer *httpserver.Server
 
 	cancel context.CancelFunc
@@ -69,6 +73,15 @@
 // WithLog sets where the node logs.
 func WithLog(l log.Interface) Option { return func(n *Node) { n.log = l } }
 
+// WithDialer sets how the node opens connections to other nodes and to the
+// platform.
+func WithDialer(d peer.Dialer) Option {
+	return func(n *Node) {
+		n.peerOptions = []peer.Option{peer.WithDialer(d)}
+		n.transport = []httpclient.Option{httpclient.WithDialer(d)}
+	}
+}
+
 // Start starts a node. It returns once the node listens; the node is not yet
 // ready for calls then.
 func Start(cfg settings.Settings, opts ...Option) (*Node, error) {
@@ -102,9 +115,10 @@
 func (n *Node) listen() error {
 	key := secret.New(n.cfg.PeerKey)
 	platformClient := platform.New(n.cfg.Platform.Address,
-		platform.WithToken(n.cfg.Platform.Token), platform.WithTimeout(n.cfg.Platform.Timeout.Std()))
+		platform.WithToken(n.cfg.Platform.Token), platform.WithTimeout(n.cfg.Platform.Timeout.Std()),
+		platform.WithTransport(n.transport...))
 	serverClient := server.New(n.cfg.Server.Address, n.cfg.Server.Connections)
-	peerClient := peercall.New(key)
+	peerClient := peercall.New(key, n.transport...)
 	n.closers = append(n.closers, platformClient.Close, serverClient.Close, peerClient.Close)
 
 	n.members = &membership.Loop{
@@ -142,7 +156,7 @@
 	if n.operatorServer, err = httpserver.Start(n.cfg.Listen.Operator, handler); err != nil {
 		return err
 	}
-	if n.endpoint, err = peer.Listen(n.cfg.Listen.Peer, key, &mux); err != nil {
+	if n.endpoint, err = peer.Listen(n.cfg.Listen.Peer, key, &mux, n.peerOptions...); err != nil {
 		return err
 	}
 	n.members.Endpoint, n.follower.Endpoint = n.endpoint, n.endpoint
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -81,6 +81,7 @@
 type Endpoint struct {
 	key      secret.Key
 	mux      *Mux
+	dialer   Dialer
 	listener net.Listener
 	addr     netip.AddrPort
 	ctx      context.Context
@@ -103,8 +104,19 @@
 	lastUsed time.Time
 }
 
+// Dialer opens connections, as net.Dialer does.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Option changes an endpoint while it is built.
+type Option func(*Endpoint)
+
+// WithDialer sets how connections to other nodes are opened.
+func WithDialer(d Dialer) Option { return func(e *Endpoint) { e.dialer = d } }
+
 // Listen starts an endpoint. Port 0 takes any free port; see [Endpoint.Addr].
-func Listen(addr netip.AddrPort, key secret.Key, mux *Mux) (*Endpoint, error) {
+func Listen(addr netip.AddrPort, key secret.Key, mux *Mux, opts ...Option) (*Endpoint, error) {
 	listener, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
@@ -117,6 +129,10 @@
 		outgoing: make(map[netip.AddrPort]*connection),
 		incoming: make(map[*jsonrpc2.Conn]struct{}),
 		byMethod: make(map[string]uint64),
+		dialer:   &net.Dialer{Timeout: dialTimeout},
+	}
+	for _, opt := range opts {
+		opt(e)
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.group.Go(e.accept)
@@ -231,8 +247,9 @@
 }
 
 func (e *Endpoint) dial(to netip.AddrPort) (*jsonrpc2.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(e.ctx, "tcp", to.String())
+	ctx, cancel := context.WithTimeout(e.ctx, dialTimeout)
+	defer cancel()
+	raw, err := e.dialer.DialContext(ctx, "tcp", to.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", to)
 	}
--- a/io/peercall/peercall.go
+++ b/io/peercall/peercall.go
@@ -42,10 +42,9 @@
 }
 
 // New returns a client that proves the key.
-func New(key secret.Key) *Client {
-	return &Client{key: key, http: httpclient.New("peercall", func(t *http.Transport) {
-		t.MaxIdleConnsPerHost = idlePerNode
-	})}
+func New(key secret.Key, opts ...httpclient.Option) *Client {
+	opts = append(opts, func(t *http.Transport) { t.MaxIdleConnsPerHost = idlePerNode })
+	return &Client{key: key, http: httpclient.New("peercall", opts...)}
 }
 
 // Do sends a call to the node at the address. It returns the answer once the
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -53,6 +53,8 @@
 	token   string
 	timeout time.Duration
 	http    *httpclient.Client
+
+	transport []httpclient.Option
 }
 
 // Revision identifies one write of an object. The zero value stands for "no
@@ -89,16 +91,22 @@
 // WithTimeout sets the time after which a request is given up.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
+// WithTransport sets options of the connections to the platform.
+func WithTransport(opts ...httpclient.Option) Option {
+	return func(c *Client) { c.transport = append(c.transport, opts...) }
+}
+
 // New returns a client of the platform at addr.
 func New(addr netip.AddrPort, opts ...Option) *Client {
 	c := &Client{
-		base:    url.URL{Scheme: "http", Host: addr.String()},
-		timeout: defaultTimeout,
-		http:    httpclient.New("platform", httpclient.WithConnections(maxConnections)),
+		base:      url.URL{Scheme: "http", Host: addr.String()},
+		timeout:   defaultTimeout,
+		transport: []httpclient.Option{httpclient.WithConnections(maxConnections)},
 	}
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.http = httpclient.New("platform", c.transport...)
 	return c
 }
 
