demo: show a change, a cut zone and the measures

internal/trial runs a fleet of real nodes against the stand-ins, internal/load sends an open loop of calls and compares what callers were told with what the backend servers recorded.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,5 +1,7 @@
 // Package demo shows the whole path in one process on loopback: a stand-in
-// platform, backend servers and their nodes, and calls.
+// platform, two availability zones with three nodes and backend servers each,
+// the calls of Coni in small, a change of the plans while calls run, and a zone
+// that is cut off and healed.
 package demo
 
 import (
@@ -7,153 +9,202 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
-	"lavenderdeal/core/plans"
-	"lavenderdeal/internal/httpclient"
-	"lavenderdeal/internal/httpserver"
-	"lavenderdeal/internal/node"
-	"lavenderdeal/internal/publish"
-	"lavenderdeal/internal/standin/backend"
-	"lavenderdeal/internal/standin/objectapi"
-	"lavenderdeal/internal/units"
-	"lavenderdeal/io/caller"
-	"lavenderdeal/io/platform"
+	"lavenderdeal/internal/load"
+	"lavenderdeal/internal/standin/cuts"
+	"lavenderdeal/internal/trial"
 	"lavenderdeal/schema/lists"
-	"lavenderdeal/schema/settings"
 )
 
 const (
-	slots       = 18
-	connections = 130
-	callPause   = 10 * time.Millisecond
-	readyLimit  = 10 * time.Second
+	readyLimit = 15 * time.Second
+	// inForceLimit is the users' target for a change of the plans.
+	inForceLimit = 4 * time.Second
+	seed         = 1
+	percentile   = 99
 )
 
-var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+// Demo is one run of the demo.
+type Demo struct {
+	out         io.Writer
+	duration    time.Duration
+	doubledCall bool
 
-// Run runs the demo for the given time and prints what happens. The error says
-// which promise was broken.
-func Run(ctx context.Context, w io.Writer, duration time.Duration) error {
-	store, err := httpserver.Start(loopback, objectapi.New())
-	if err != nil {
-		return err
+	fleet   *trial.Fleet
+	monitor *trial.Monitor
+	started time.Time
+	broken  []string
+	// inForce is how long each change of the plans took on every node.
+	inForce []time.Duration
+}
+
+// Option changes a demo while it is built.
+type Option func(*Demo)
+
+// WithDoubledCall makes one caller send a purchase twice as if it were two, to
+// show that the demo notices a broken promise.
+func WithDoubledCall() Option { return func(d *Demo) { d.doubledCall = true } }
+
+// Run runs the demo and prints what happens. The error names each broken
+// promise.
+func Run(ctx context.Context, out io.Writer, duration time.Duration, opts ...Option) error {
+	d := &Demo{out: out, duration: duration, started: time.Now()}
+	for _, opt := range opts {
+		opt(d)
 	}
-	defer store.Close()
-	publisher := publish.Store{Objects: platform.New(store.Addr())}
-	head, err := publisher.Apply(ctx, publish.Current{}, customers(), planList(), publish.Change{Author: "demo"})
+	fleet, err := trial.Start(ctx, trial.Small())
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "version %d of the plans is in the platform\n", head.Version)
-
-	var nodes []*node.Node
-	for _, zone := range []string{"catania", "palermo"} {
-		for _, service := range []string{"availability", "bookings", "fieldwork"} {
-			server := backend.New(zone+"-"+service, slots)
-			s, err := httpserver.Start(loopback, server)
-			if err != nil {
-				return err
-			}
-			defer s.Close()
-			n, err := node.Start(nodeSettings(zone, service, s.Addr(), store.Addr()))
-			if err != nil {
-				return err
-			}
-			defer n.Kill()
-			nodes = append(nodes, n)
-		}
-	}
-	if err := waitReady(ctx, nodes); err != nil {
+	defer fleet.Close()
+	d.fleet = fleet
+	d.say("the platform has version 1 of the two lists; 6 nodes start in 2 availability zones")
+	if err := fleet.WaitReady(ctx, readyLimit); err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "%d nodes are ready\n", len(nodes))
-
-	client := httpclient.New("demo")
-	ok, failed := 0, 0
-	deadline := time.Now().Add(duration)
-	for i := 0; time.Now().Before(deadline) && ctx.Err() == nil; i++ {
-		to := nodes[i%len(nodes)].Addresses().Caller
-		if err := call(ctx, client, to); err != nil {
-			fmt.Fprintln(w, err)
-			failed++
-		} else {
-			ok++
-		}
-		time.Sleep(callPause)
+	d.say("all nodes are ready and know each other")
+	d.monitor = fleet.Monitor()
+	report := d.callsAndEvents(ctx)
+	d.broken = append(d.broken, d.monitor.Stop()...)
+	d.broken = append(d.broken, load.Check(report.Calls, classes(), fleet.Runs())...)
+	d.summary(report)
+	if len(d.broken) > 0 {
+		return errors.Newf("%d broken promises, first: %s", len(d.broken), d.broken[0])
 	}
-	fmt.Fprintf(w, "%d calls answered, %d failed\n", ok, failed)
-	if ok == 0 || failed > 0 {
-		return errors.Newf("%d of %d calls failed", failed, ok+failed)
+	return ctx.Err()
+}
+
+// callsAndEvents lets the calls run beside what happens to the fleet.
+func (d *Demo) callsAndEvents(ctx context.Context) *load.Report {
+	var report *load.Report
+	var group errgroup.Group
+	group.Go(func() error {
+		report = load.Run(ctx, load.Plan{Targets: d.fleet.Targets(), Classes: classes(), Duration: d.duration, Seed: seed})
+		return nil
+	})
+	group.Go(func() error { d.events(ctx); return nil })
+	_ = group.Wait()
+	return report
+}
+
+func (d *Demo) events(ctx context.Context) {
+	step := d.duration / 5
+	pause(ctx, step)
+	d.change(ctx, "an operator gives councils a new plan", withCouncilBookings(true))
+	pause(ctx, step)
+	d.say("availability zone palermo is cut off from catania and from the platform")
+	d.fleet.Network.Cut(2, 1)
+	d.fleet.Network.Cut(2, cuts.Platform)
+	pause(ctx, step)
+	d.say("the cut is healed")
+	d.fleet.Network.Heal()
+	pause(ctx, step)
+	d.change(ctx, "the operator takes the new plan back, as a new version", withCouncilBookings(false))
+	if d.doubledCall {
+		d.sendDoubled(ctx)
 	}
-	return nil
 }
 
-func call(ctx context.Context, client *httpclient.Client, to netip.AddrPort) error {
-	r, err := httpclient.NewRequest(ctx, http.MethodGet, "http://"+to.String()+"/stock?depot=1", nil)
+// change applies a version and waits until it is in force everywhere.
+func (d *Demo) change(ctx context.Context, what string, plans lists.PlanList) {
+	head, err := d.fleet.Apply(ctx, d.fleet.Shape.Customers, plans)
 	if err != nil {
-		return err
+		d.broken = append(d.broken, fmt.Sprintf("the change was not accepted: %v", err))
+		return
 	}
-	r.Header.Set("Authorization", "Bearer crew-key")
-	r.Header.Set(caller.HeaderService, "availability")
-	answer, err := client.Do(r)
-	if err != nil {
-		return err
+	start := time.Now()
+	d.say("%s: version %d", what, head.Version)
+	if err := d.fleet.WaitVersion(ctx, d.fleet.Running(), head.Version, inForceLimit); err != nil {
+		d.broken = append(d.broken, fmt.Sprintf("version %d is not in force everywhere: %v", head.Version, err))
+		return
 	}
-	defer answer.Body.Close()
-	body, err := io.ReadAll(answer.Body)
-	if err != nil {
-		return err
+	d.inForce = append(d.inForce, time.Since(start))
+	d.say("version %d is in force on every node after %s", head.Version, time.Since(start).Round(time.Millisecond))
+}
+
+// sendDoubled sends the same purchase twice without a key.
+func (d *Demo) sendDoubled(ctx context.Context) {
+	class := classes()[1]
+	class.Keyed = false
+	load.SendOnce(ctx, class, d.fleet.Targets()[0], "doubled")
+	load.SendOnce(ctx, class, d.fleet.Targets()[0], "doubled")
+	if runs := d.fleet.Runs()["doubled"]; runs != 1 {
+		d.broken = append(d.broken, fmt.Sprintf("call doubled: POST ran %d times", runs))
+	}
+}
+
+func (d *Demo) summary(report *load.Report) {
+	fmt.Fprintln(d.out, "\nsummary")
+	for _, took := range d.inForce {
+		fmt.Fprintf(d.out, "  convergence time        %s until a change was in force on every node\n", took.Round(time.Millisecond))
+	}
+	fmt.Fprintf(d.out, "  control bytes           %.1f KB/s sent by each node\n", d.controlRate()/1000)
+	for _, class := range classes() {
+		c := report.Classes[class.Name]
+		fmt.Fprintf(d.out, "  service of rank %-7s %4d calls, %5.1f%% in time, p%d %s (%s)\n", class.Priority, c.Sent,
+			100*c.InTimeShare(), percentile, c.Quantile(percentile).Round(100*time.Microsecond), class.Name)
 	}
-	if answer.StatusCode != http.StatusOK {
-		return errors.Newf("status %d: %s", answer.StatusCode, body)
+	fmt.Fprintf(d.out, "  service during a flood  see: lavenderdeal measure flood\n")
+	fmt.Fprintf(d.out, "  broken promises         %d\n", len(d.broken))
+	for _, promise := range d.broken {
+		fmt.Fprintln(d.out, "    "+promise)
 	}
-	return nil
 }
 
-func waitReady(ctx context.Context, nodes []*node.Node) error {
-	ctx, cancel := context.WithTimeout(ctx, readyLimit)
-	defer cancel()
-	for _, n := range nodes {
-		for n.Status().Members["ready"] < len(nodes) {
-			select {
-			case <-time.After(callPause):
-			case <-ctx.Done():
-				return errors.Newf("a node knows %v after %s", n.Status().Members, readyLimit)
-			}
-		}
+func (d *Demo) controlRate() float64 {
+	total := uint64(0)
+	for _, i := range d.fleet.Running() {
+		total += i.Node.ControlTraffic().BytesOut
 	}
-	return nil
+	return float64(total) / float64(len(d.fleet.Instances)) / time.Since(d.started).Seconds()
 }
 
-func nodeSettings(zone, service string, server, store netip.AddrPort) settings.Settings {
-	return settings.Settings{
-		Zone: zone, Region: "sicily", Service: service,
-		Server:   settings.Server{Address: server, Slots: slots, Connections: connections, HealthPath: "/health"},
-		Listen:   settings.Listen{Caller: loopback, Peer: loopback, Call: loopback, Operator: loopback},
-		Platform: settings.Platform{Address: store, Timeout: units.Duration(2 * time.Second)},
-		PeerKey:  "demo-peer-key-0123456789",
-		Drain:    settings.Drain{Announce: units.Duration(3 * time.Second), Finish: units.Duration(time.Minute)},
+func (d *Demo) say(format string, args ...any) {
+	fmt.Fprintf(d.out, "%6.1fs  %s\n", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func classes() []load.Class {
+	return []load.Class{
+		{
+			Name: "dawn stock check", Customer: "crew-catania", Priority: "urgent", Key: trial.Key("crew-catania"),
+			Service: "availability", Method: http.MethodGet, Path: "/stock?depot=catania",
+			Rate: 60, Work: 2 * time.Millisecond, Timeout: time.Second,
+		},
+		{
+			Name: "booking", Customer: "depot-ledger", Priority: "high", Key: trial.Key("depot-ledger"),
+			Service: "bookings", Method: http.MethodPost, Path: "/closures",
+			Rate: 20, Work: 5 * time.Millisecond, Timeout: 2 * time.Second, BodyBytes: 400, Keyed: true,
+		},
+		{
+			Name: "permit check", Customer: "council-agrigento", Priority: "normal", Key: trial.Key("council-agrigento"),
+			Service: "availability", Method: http.MethodGet, Path: "/permits",
+			Rate: 20, Work: 5 * time.Millisecond, Timeout: 2 * time.Second,
+		},
+		{
+			Name: "site photo", Customer: "crew-palermo", Priority: "bulk", Key: trial.Key("crew-palermo"),
+			Service: "fieldwork", Method: http.MethodPost, Path: "/photos",
+			Rate: 4, Work: 20 * time.Millisecond, Timeout: 5 * time.Second, BodyBytes: 2 << 20,
+		},
 	}
 }
 
-func customers() lists.CustomerList {
-	return lists.CustomerList{Customers: []lists.Customer{
-		{Name: "crew-catania", Plan: "crew", KeyHashes: []string{plans.HashKey("crew-key")}},
-	}}
+// withCouncilBookings returns the plans with or without bookings at a high
+// priority for councils.
+func withCouncilBookings(high bool) lists.PlanList {
+	plans := trial.Small().Plans
+	if high {
+		plans.Plans[1].Uses[1].Priority = "high"
+	}
+	return plans
 }
 
-func planList() lists.PlanList {
-	timeout := units.Duration(5 * time.Second)
-	return lists.PlanList{
-		Services: []lists.Service{{Name: "availability", Timeout: timeout}, {Name: "bookings", Timeout: timeout}, {Name: "fieldwork", Timeout: timeout}},
-		Plans: []lists.Plan{{Name: "crew", Uses: []lists.Use{
-			{Service: "availability", Priority: "urgent"},
-			{Service: "bookings", Priority: "high"},
-			{Service: "fieldwork", Priority: "bulk"},
-		}}},
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,6 +195,15 @@
 	return status
 }
 
+// ID returns the id of the node's process.
+func (n *Node) ID() string { return n.view.Load().Self().Id }
+
+// Version returns the version of the plans in force, or 0.
+func (n *Node) Version() uint64 { return n.plans.Number() }
+
+// ControlTraffic returns the traffic of control messages until now.
+func (n *Node) ControlTraffic() peer.Counts { return n.endpoint.Counts() }
+
 // Metrics returns the node's counters and histograms.
 func (n *Node) Metrics() *metrics.Set { return n.metrics }
 
--- /dev/null
+++ b/internal/standin/cuts/cuts.go
@@ -0,0 +1,184 @@
+// Package cuts is a stand-in for a network whose availability zones can be cut
+// off from each other and from the platform.
+//
+// Each zone has a part of the loopback range, see [Addr]. A [Network] gives
+// every node a dialer; connections that cross a cut carry nothing until it is
+// healed, as with a switch that drops packets:
+//
+//	var network cuts.Network
+//	dialer := network.Dialer(1)
+//	network.Cut(1, 2)
+//	network.Heal()
+package cuts
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+)
+
+// Platform is the zone of the platform.
+const Platform = 0
+
+// Network is the stand-in. The zero value has no cuts. Lock order: mu is the
+// only lock.
+type Network struct {
+	mu      sync.Mutex
+	cut     map[pair]bool
+	changed chan struct{}
+}
+
+type pair struct{ a, b int }
+
+// Addr returns the address of an instance in a zone, with port 0. Zones and
+// instances count from 0; zone 0 is the platform.
+func Addr(zone, instance int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(instance / 250), byte(zone), byte(1 + instance%250)}), 0)
+}
+
+// Cut drops everything between two zones.
+func (n *Network) Cut(a, b int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut == nil {
+		n.cut = make(map[pair]bool)
+	}
+	n.cut[pairOf(a, b)] = true
+}
+
+// Heal removes all cuts.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = nil
+	if n.changed != nil {
+		close(n.changed)
+		n.changed = nil
+	}
+}
+
+// Dialer returns the dialer of an instance in a zone.
+func (n *Network) Dialer(zone int) *Dialer { return &Dialer{network: n, zone: zone} }
+
+// blocked returns a channel that is closed when the cuts change, or nil when
+// the two zones are connected.
+func (n *Network) blocked(p pair) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.cut[p] {
+		return nil
+	}
+	if n.changed == nil {
+		n.changed = make(chan struct{})
+	}
+	return n.changed
+}
+
+// Dialer opens connections from one zone.
+type Dialer struct {
+	network *Network
+	zone    int
+}
+
+// DialContext opens a connection. Across a cut it waits until ctx is done.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	p := pairOf(d.zone, int(to.Addr().As4()[2]))
+	for blocked := d.network.blocked(p); blocked != nil; blocked = d.network.blocked(p) {
+		select {
+		case <-blocked:
+		case <-ctx.Done():
+			return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+		}
+	}
+	dialer := net.Dialer{Timeout: time.Second}
+	raw, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw, network: d.network, pair: p, closed: make(chan struct{})}, nil
+}
+
+// conn is a connection between two zones.
+type conn struct {
+	net.Conn
+	network *Network
+	pair    pair
+	closed  chan struct{}
+	once    sync.Once
+
+	mu                          sync.Mutex
+	readDeadline, writeDeadline time.Time
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if waitErr := c.wait(func() time.Time { return c.readDeadline }); waitErr != nil {
+		return 0, waitErr
+	}
+	return n, err
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.wait(func() time.Time { return c.writeDeadline }); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+func (c *conn) SetDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.readDeadline, c.writeDeadline = t, t
+	c.mu.Unlock()
+	return c.Conn.SetDeadline(t)
+}
+
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.readDeadline = t
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.writeDeadline = t
+	c.mu.Unlock()
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// wait holds until the two zones are connected.
+func (c *conn) wait(deadline func() time.Time) error {
+	for blocked := c.network.blocked(c.pair); blocked != nil; blocked = c.network.blocked(c.pair) {
+		c.mu.Lock()
+		limit := deadline()
+		c.mu.Unlock()
+		var expired <-chan time.Time
+		if !limit.IsZero() {
+			timer := time.NewTimer(time.Until(limit))
+			defer timer.Stop()
+			expired = timer.C
+		}
+		select {
+		case <-blocked:
+		case <-c.closed:
+			return net.ErrClosed
+		case <-expired:
+			return os.ErrDeadlineExceeded
+		}
+	}
+	return nil
+}
+
+func pairOf(a, b int) pair { return pair{min(a, b), max(a, b)} }
--- /dev/null
+++ b/internal/trial/shapes.go
@@ -0,0 +1,117 @@
+package trial
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"lavenderdeal/core/plans"
+	"lavenderdeal/internal/units"
+	"lavenderdeal/schema/lists"
+)
+
+// Coni is the deployment of the brief's first users: three zones; availability
+// on 6 servers, bookings on 5 and fieldwork on 3.
+func Coni() Shape {
+	return Shape{
+		Name:  "coni",
+		Zones: []Zone{{"catania", "sicily"}, {"palermo", "sicily"}, {"agrigento", "sicily"}},
+		Services: []Service{
+			{Name: "availability", ServersPerZone: []int{2, 2, 2}, Slots: 18, Connections: 130},
+			{Name: "bookings", ServersPerZone: []int{2, 2, 1}, Slots: 18, Connections: 130},
+			{Name: "fieldwork", ServersPerZone: []int{1, 1, 1}, Slots: 18, Connections: 130},
+		},
+		Customers: customers("crew-catania:crew", "crew-palermo:crew", "council-agrigento:council", "depot-ledger:depot"),
+		Plans: lists.PlanList{
+			Services: services("availability", "bookings", "fieldwork"),
+			Plans: []lists.Plan{
+				{Name: "crew", Uses: []lists.Use{use("availability", "urgent"), use("bookings", "high"), use("fieldwork", "bulk")}},
+				{Name: "council", Uses: []lists.Use{use("availability", "normal"), use("bookings", "normal")}},
+				{Name: "depot", Uses: []lists.Use{use("availability", "high"), use("bookings", "high"), use("fieldwork", "normal")}},
+			},
+		},
+	}
+}
+
+// Trinidad is the deployment of the brief's second users: four zones; tours on
+// 5 servers, booking on 4 and documents on 4.
+func Trinidad() Shape {
+	return Shape{
+		Name:  "trinidad",
+		Zones: []Zone{{"tt-north-1", "tt-north"}, {"tt-north-2", "tt-north"}, {"tt-north-3", "tt-north"}, {"tt-north-4", "tt-north"}},
+		Services: []Service{
+			{Name: "tours", ServersPerZone: []int{2, 1, 1, 1}, Slots: 12, Connections: 120},
+			{Name: "booking", ServersPerZone: []int{1, 1, 1, 1}, Slots: 12, Connections: 120},
+			{Name: "documents", ServersPerZone: []int{1, 1, 1, 1}, Slots: 12, Connections: 120},
+		},
+		Customers: customers("families:visitor", "schools:school", "cruise-line:cruise", "gate:staff"),
+		Plans: lists.PlanList{
+			Services: services("tours", "booking", "documents"),
+			Plans: []lists.Plan{
+				{Name: "visitor", Uses: []lists.Use{use("tours", "normal"), use("booking", "high")}},
+				{Name: "school", Uses: []lists.Use{use("tours", "normal"), use("booking", "high"), use("documents", "normal")}},
+				{Name: "cruise", Uses: []lists.Use{use("tours", "bulk"), use("booking", "high")}},
+				{Name: "staff", Uses: []lists.Use{use("tours", "high"), use("documents", "urgent")}},
+			},
+		},
+	}
+}
+
+// Small is the deployment of the demo: two zones with a server of each service
+// of Coni.
+func Small() Shape {
+	shape := Coni()
+	shape.Name = "small"
+	shape.Zones = shape.Zones[:2]
+	for i := range shape.Services {
+		shape.Services[i].ServersPerZone = []int{1, 1}
+	}
+	return shape
+}
+
+// Uniform is a deployment for measurements of control: a number of zones with
+// as many nodes of one service each, all beside one backend server.
+func Uniform(zones, perZone, customerCount int) Shape {
+	shape := Shape{
+		Name:         fmt.Sprintf("uniform-%dx%d", zones, perZone),
+		Services:     []Service{{Name: "availability", ServersPerZone: []int{perZone}, Slots: 16, Connections: 64}},
+		SharedServer: true,
+		Plans: lists.PlanList{
+			Services: services("availability"),
+			Plans:    []lists.Plan{{Name: "crew", Uses: []lists.Use{use("availability", "urgent")}}},
+		},
+	}
+	for z := range zones {
+		shape.Zones = append(shape.Zones, Zone{fmt.Sprintf("zone-%d", z+1), fmt.Sprintf("region-%d", z/4+1)})
+	}
+	names := make([]string, 0, customerCount)
+	for c := range customerCount {
+		names = append(names, fmt.Sprintf("customer-%d:crew", c))
+	}
+	shape.Customers = customers(names...)
+	return shape
+}
+
+// Key returns the key by which a customer of a trial is known.
+func Key(customer string) string { return customer + "-key" }
+
+func customers(pairs ...string) lists.CustomerList {
+	list := lists.CustomerList{Customers: []lists.Customer{}}
+	for _, pair := range pairs {
+		name, plan, _ := strings.Cut(pair, ":")
+		list.Customers = append(list.Customers, lists.Customer{Name: name, Plan: plan, KeyHashes: []string{plans.HashKey(Key(name))}})
+	}
+	return list
+}
+
+func services(names ...string) []lists.Service {
+	list := make([]lists.Service, 0, len(names))
+	for _, name := range names {
+		list = append(list, lists.Service{Name: name, Timeout: units.Duration(30 * time.Second)})
+	}
+	return list
+}
+
+func use(service string, priority lists.UsePriority) lists.Use {
+	return lists.Use{Service: service, Priority: priority}
+}
--- /dev/null
+++ b/internal/trial/trial.go
@@ -0,0 +1,286 @@
+// Package trial runs a fleet of real nodes in one process on loopback, against
+// the stand-ins, for the demo and the measurements.
+//
+//	fleet, err := trial.Start(ctx, trial.Coni())
+//	defer fleet.Close()
+//	err = fleet.WaitReady(ctx, 10*time.Second)
+package trial
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+
+	"lavenderdeal/internal/httpserver"
+	"lavenderdeal/internal/node"
+	"lavenderdeal/internal/publish"
+	"lavenderdeal/internal/standin/backend"
+	"lavenderdeal/internal/standin/cuts"
+	"lavenderdeal/internal/standin/objectapi"
+	"lavenderdeal/internal/units"
+	"lavenderdeal/io/platform"
+	"lavenderdeal/schema/lists"
+	"lavenderdeal/schema/objects"
+	"lavenderdeal/schema/settings"
+)
+
+const (
+	pollPeriod      = 5 * time.Millisecond
+	platformTimeout = 2 * time.Second
+	drainAnnounce   = 3 * time.Second
+	drainFinish     = 60 * time.Second
+	peerKey         = "trial-peer-key-0123456789"
+)
+
+// Shape is what a fleet consists of.
+type Shape struct {
+	Name      string
+	Zones     []Zone
+	Services  []Service
+	Customers lists.CustomerList
+	Plans     lists.PlanList
+	// SharedServer runs all nodes with one backend server, for measurements of
+	// control alone.
+	SharedServer bool
+}
+
+// Zone is an availability zone with its region.
+type Zone struct {
+	Name, Region string
+}
+
+// Service is a service with the servers that each zone has of it.
+type Service struct {
+	Name               string
+	ServersPerZone     []int
+	Slots, Connections int
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Shape     Shape
+	Store     *objectapi.Store
+	Network   *cuts.Network
+	Publisher publish.Store
+	Instances []*Instance
+
+	platform *httpserver.Server
+	shared   *backendServer
+
+	// mu guards the list of instances and which of them run.
+	mu sync.Mutex
+}
+
+// Instance is a backend server with its node.
+type Instance struct {
+	Node   *node.Node
+	Server *backend.Server
+	// Zone is the number of the zone, from 1.
+	Zone   int
+	Config settings.Settings
+
+	listener *httpserver.Server
+	running  bool
+}
+
+type backendServer struct {
+	server   *backend.Server
+	listener *httpserver.Server
+}
+
+// Start starts the platform with a first version of the lists, and all
+// instances. The nodes are not ready yet when it returns.
+func Start(ctx context.Context, shape Shape) (*Fleet, error) {
+	f := &Fleet{Shape: shape, Store: objectapi.New(), Network: &cuts.Network{}}
+	listener, err := httpserver.Start(cuts.Addr(cuts.Platform, 0), f.Store)
+	if err != nil {
+		return nil, err
+	}
+	f.platform = listener
+	f.Publisher = publish.Store{Objects: platform.New(listener.Addr())}
+	if _, err := f.Apply(ctx, shape.Customers, shape.Plans); err != nil {
+		f.Close()
+		return nil, err
+	}
+	if err := f.startInstances(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) startInstances() error {
+	for z, zone := range f.Shape.Zones {
+		number := 0
+		for _, service := range f.Shape.Services {
+			for range service.ServersPerZone[z%len(service.ServersPerZone)] {
+				instance, err := f.add(z+1, number, zone, service)
+				if err != nil {
+					return err
+				}
+				f.mu.Lock()
+				f.Instances = append(f.Instances, instance)
+				f.mu.Unlock()
+				number++
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) add(zone, number int, z Zone, service Service) (*Instance, error) {
+	addr := cuts.Addr(zone, number)
+	i := &Instance{Zone: zone}
+	name := fmt.Sprintf("%s-%s-%d", z.Name, service.Name, number)
+	server, listener, err := f.backend(name, service, addr)
+	if err != nil {
+		return nil, err
+	}
+	i.Server, i.listener = server, listener
+	i.Config = settings.Settings{
+		Zone: z.Name, Region: z.Region, Service: service.Name,
+		Server:   settings.Server{Address: listener.Addr(), Slots: service.Slots, Connections: service.Connections, HealthPath: "/health"},
+		Listen:   settings.Listen{Caller: addr, Peer: addr, Call: addr, Operator: addr},
+		Platform: settings.Platform{Address: f.platform.Addr(), Timeout: units.Duration(platformTimeout)},
+		PeerKey:  peerKey,
+		Drain:    settings.Drain{Announce: units.Duration(drainAnnounce), Finish: units.Duration(drainFinish)},
+	}
+	return i, f.StartNode(i)
+}
+
+func (f *Fleet) backend(name string, service Service, addr netip.AddrPort) (*backend.Server, *httpserver.Server, error) {
+	if f.shared != nil {
+		return f.shared.server, f.shared.listener, nil
+	}
+	server := backend.New(name, service.Slots)
+	listener, err := httpserver.Start(addr, server)
+	if err == nil && f.Shape.SharedServer {
+		f.shared = &backendServer{server: server, listener: listener}
+	}
+	return server, listener, err
+}
+
+// StartNode starts the node of an instance, as a new process would.
+func (f *Fleet) StartNode(i *Instance) error {
+	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	n, err := node.Start(i.Config, node.WithLog(quiet), node.WithDialer(f.Network.Dialer(i.Zone)))
+	if err != nil {
+		return err
+	}
+	f.setRunning(i, n)
+	return nil
+}
+
+// KillNode ends the node of an instance at once, as a crash would.
+func (f *Fleet) KillNode(i *Instance) {
+	f.setRunning(i, nil)
+	i.Node.Kill()
+}
+
+// StopNode ends the node of an instance as planned.
+func (f *Fleet) StopNode(ctx context.Context, i *Instance) error {
+	f.setRunning(i, nil)
+	return i.Node.Stop(ctx)
+}
+
+func (f *Fleet) setRunning(i *Instance, n *node.Node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i.running = n != nil
+	if n != nil {
+		i.Node = n
+	}
+}
+
+// Apply writes a new version of the lists.
+func (f *Fleet) Apply(ctx context.Context, customers lists.CustomerList, plans lists.PlanList) (objects.Head, error) {
+	current, err := f.Publisher.Current(ctx)
+	if err != nil {
+		return objects.Head{}, err
+	}
+	return f.Publisher.Apply(ctx, current, customers, plans, publish.Change{Author: "trial"})
+}
+
+// Running returns the instances whose nodes run.
+func (f *Fleet) Running() []*Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var running []*Instance
+	for _, i := range f.Instances {
+		if i.running {
+			running = append(running, i)
+		}
+	}
+	return running
+}
+
+// WaitReady waits until every running node is ready and knows all others.
+func (f *Fleet) WaitReady(ctx context.Context, limit time.Duration) error {
+	running := f.Running()
+	return waitAll(ctx, running, limit, func(i *Instance) bool {
+		return i.Node.Status().Members["ready"] >= len(running)
+	})
+}
+
+// WaitVersion waits until every one of the instances has at least the version.
+func (f *Fleet) WaitVersion(ctx context.Context, instances []*Instance, version uint64, limit time.Duration) error {
+	return waitAll(ctx, instances, limit, func(i *Instance) bool { return i.Node.Version() >= version })
+}
+
+// waitAll waits until the condition holds for every instance.
+func waitAll(ctx context.Context, instances []*Instance, limit time.Duration, holds func(*Instance) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for _, i := range instances {
+		for !holds(i) {
+			select {
+			case <-time.After(pollPeriod):
+			case <-ctx.Done():
+				return errors.Newf("node %s in %s after %s: %+v", i.Node.Status().ID, i.Config.Zone, limit, i.Node.Status())
+			}
+		}
+	}
+	return nil
+}
+
+// Close ends everything.
+func (f *Fleet) Close() {
+	for _, i := range f.Running() {
+		i.Node.Kill()
+	}
+	for _, i := range f.Instances {
+		_ = i.listener.Close()
+	}
+	_ = f.platform.Close()
+}
+
+// Targets returns the caller addresses of the running nodes.
+func (f *Fleet) Targets() []netip.AddrPort {
+	var targets []netip.AddrPort
+	for _, i := range f.Running() {
+		targets = append(targets, i.Node.Addresses().Caller)
+	}
+	return targets
+}
+
+// Runs returns how often each call ran, over all backend servers.
+func (f *Fleet) Runs() map[string]int {
+	total := make(map[string]int)
+	seen := make(map[*backend.Server]bool)
+	for _, i := range f.Instances {
+		if seen[i.Server] {
+			continue
+		}
+		seen[i.Server] = true
+		for id, n := range i.Server.Runs() {
+			total[id] += n
+		}
+	}
+	return total
+}
