--- a/cmd/lavenderdeal/main.go
+++ b/cmd/lavenderdeal/main.go
@@ -75,6 +75,8 @@
 			nodeCommand(stderr),
 			plansCommand(stdout, stderr),
 			demoCommand(stdout, stderr),
+			loadCommand(stdout, stderr),
+			measureCommand(stdout, stderr),
 			standinCommand(stdout, stderr),
 			versionCommand(stdout, stderr),
 		},
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -9,8 +9,11 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"lavenderdeal/core/verdict"
 	"lavenderdeal/internal/httpclient"
 	"lavenderdeal/internal/standin/backend"
@@ -136,6 +139,9 @@
 	return s.Status == http.StatusOK && s.Verdict == (verdict.Ran{}).String()
 }
 
+// Answered says whether the backend server answered the call in the end.
+func (c Call) Answered() bool { return c.Sends[len(c.Sends)-1].ok() }
+
 // callID returns an id in the form of a UUID of version 7, whose time says when
 // the call was first sent.
 func callID(seed, random uint64) string {
@@ -150,3 +156,25 @@
 	defer client.Close()
 	return sender{client: client, class: class}.once(ctx, id, to)
 }
+
+// Closed sends calls of a class as fast as a number of workers get answers, and
+// returns how many were answered.
+func Closed(ctx context.Context, client *httpclient.Client, class Class, to netip.AddrPort, workers int, d time.Duration) int {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	var answered atomic.Int64
+	var group errgroup.Group
+	for w := range workers {
+		group.Go(func() error {
+			s := sender{client: client, class: class}
+			for n := uint64(0); ctx.Err() == nil; n++ {
+				if s.once(ctx, callID(uint64(w), n), to).ok() {
+					answered.Add(1)
+				}
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return int(answered.Load())
+}
--- /dev/null
+++ b/internal/measure/fit.go
@@ -0,0 +1,34 @@
+package measure
+
+import "math"
+
+// line is a straight line through measured points.
+type line struct {
+	intercept, slope float64
+	// spread is the largest distance of a point from the line.
+	spread float64
+}
+
+// fit returns the line of least squares.
+func fit(x, y []float64) line {
+	n := float64(len(x))
+	var sumX, sumY, sumXX, sumXY float64
+	for i := range x {
+		sumX += x[i]
+		sumY += y[i]
+		sumXX += x[i] * x[i]
+		sumXY += x[i] * y[i]
+	}
+	l := line{}
+	if d := n*sumXX - sumX*sumX; d != 0 {
+		l.slope = (n*sumXY - sumX*sumY) / d
+	}
+	l.intercept = (sumY - l.slope*sumX) / n
+	for i := range x {
+		l.spread = math.Max(l.spread, math.Abs(y[i]-l.at(x[i])))
+	}
+	return l
+}
+
+// at returns the value of the line at x, never below zero.
+func (l line) at(x float64) float64 { return math.Max(0, l.intercept+l.slope*x) }
--- /dev/null
+++ b/internal/measure/flood.go
@@ -0,0 +1,104 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"lavenderdeal/core/priority"
+	"lavenderdeal/internal/load"
+	"lavenderdeal/internal/trial"
+)
+
+// floodCase is one flood: of a priority, from a number of customers.
+type floodCase struct {
+	name      string
+	priority  priority.Priority
+	customers int
+}
+
+var floodCases = []floodCase{
+	{"bulkOne", priority.Bulk, 1},
+	{"bulkMany", priority.Bulk, manyCustomers},
+	{"urgentOne", priority.Urgent, 1},
+	{"urgentMany", priority.Urgent, manyCustomers},
+}
+
+// flood measures what steady work keeps while a flood of five times the
+// capacity comes, first of the least urgent, then of the most urgent.
+func flood(ctx context.Context, r *run) error {
+	fleet, err := r.start(ctx, r.floodShape())
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	capacity := capacityOf(fleet)
+	quiet := r.loadFleet(ctx, fleet, steadyClasses(capacity), r.scaled(floodDuration))
+	quietP99 := quiet.Classes[className(priority.Urgent, bystander)].Quantile(99)
+	r.figure("quiet.urgentP99", millis(quietP99), "ms")
+	for _, c := range floodCases {
+		r.floodOnce(ctx, fleet, c, quietP99)
+	}
+	return nil
+}
+
+func (r *run) floodOnce(ctx context.Context, fleet *trial.Fleet, c floodCase, quietP99 time.Duration) {
+	capacity := capacityOf(fleet)
+	classes := steadyClasses(capacity)
+	for n := range c.customers {
+		rate := floodFactor * capacity / float64(c.customers)
+		classes = append(classes, classOf(c.priority, fmt.Sprintf("%s-%d", floodCustomer, n), rate))
+	}
+	report := r.loadFleet(ctx, fleet, classes, r.scaled(floodDuration))
+	for p := range priority.All() {
+		steadyWork := report.Classes[className(p, bystander)]
+		name := c.name + "." + p.String()
+		share := 100 * steadyWork.InTimeShare()
+		switch {
+		case c.priority == priority.Bulk && p == priority.Urgent:
+			r.atLeast(name+".inTime", share, urgentInTimeTarget)
+			ratio := float64(steadyWork.Quantile(99)) / float64(quietP99)
+			r.atMost(name+".p99Ratio", ratio, "of quiet", urgentRatioTarget)
+		case c.priority == p:
+			r.atLeast(name+".inTime", share, bystanderTarget)
+		case c.priority == priority.Urgent:
+			r.atLeast(name+".keptOfCapacity", keptOfCapacity(report, steadyWork, capacity), 100*floorOf(p))
+			r.figure(name+".inTime", share, "%")
+		default:
+			r.figure(name+".inTime", share, "%")
+		}
+		r.series = append(r.series, latencySeries("service during flood "+c.name, p, report))
+	}
+	r.atLeast(c.name+".capacityUsed", capacityUsed(report, capacity), capacityTarget)
+	pause(ctx, time.Second)
+}
+
+// keptOfCapacity returns the share of the capacity that answered calls of a
+// class took, in percent.
+func keptOfCapacity(report *load.Report, c *load.ClassReport, capacity float64) float64 {
+	return 100 * float64(c.InTime) / report.Elapsed.Seconds() / capacity
+}
+
+func steadyClasses(capacity float64) []load.Class {
+	var classes []load.Class
+	for p := range priority.All() {
+		classes = append(classes, classOf(p, bystander, steady[p]*capacity))
+	}
+	return classes
+}
+
+// latencySeries is the latency of the steady work of a priority over time.
+func latencySeries(plot string, p priority.Priority, report *load.Report) Series {
+	s := Series{Plot: plot, Name: p.String(), XUnit: "s", YUnit: "ms"}
+	for _, call := range report.Calls {
+		if call.Class == className(p, bystander) && call.Answered() {
+			s.X = append(s.X, call.Due.Seconds())
+			s.Y = append(s.Y, millis(call.Latency))
+		}
+	}
+	return s
+}
+
+// floorOf returns the share of the capacity that a priority keeps while more
+// urgent work floods the fleet.
+func floorOf(p priority.Priority) float64 { return 0 }
--- /dev/null
+++ b/internal/measure/hop.go
@@ -0,0 +1,129 @@
+package measure
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lavenderdeal/internal/httpclient"
+	"lavenderdeal/internal/load"
+	"lavenderdeal/internal/trial"
+)
+
+const (
+	hopRate     = 300.0
+	hopDuration = 5 * time.Second
+	hopRounds   = 4
+	// hopTarget is what two nodes may add to a call for 99 in 100.
+	hopTarget    = 700 * time.Microsecond
+	hopWorkers   = 32
+	hopSaturated = 4 * time.Second
+)
+
+// hop compares calls through two nodes with calls straight to the backend
+// server, in turns within one run.
+func hop(ctx context.Context, r *run) error {
+	fleet, err := r.start(ctx, hopShape())
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	entry, server := fleet.Instances[0], fleet.Instances[1]
+	class := load.Class{
+		Name: "hop", Customer: "crew-catania", Priority: "urgent", Key: trial.Key("crew-catania"),
+		Service: "availability", Method: http.MethodGet, Path: "/stock", Rate: hopRate,
+	}
+	direct := class
+	direct.Name, direct.Direct = "direct", true
+	var through, straight []*load.ClassReport
+	for range hopRounds {
+		d := r.scaled(hopDuration / hopRounds * 2)
+		straight = append(straight, r.hopRound(ctx, fleet, direct, server.Config.Server.Address, d))
+		through = append(through, r.hopRound(ctx, fleet, class, entry.Node.Addresses().Caller, d))
+	}
+	directP50, directP99 := medianQuantile(straight, 50), medianQuantile(straight, 99)
+	nodesP50, nodesP99 := medianQuantile(through, 50), medianQuantile(through, 99)
+	r.figure("direct.p50", directP50, "ms")
+	r.figure("direct.p99", directP99, "ms")
+	r.figure("nodes.p50", nodesP50, "ms")
+	r.figure("nodes.p99", nodesP99, "ms")
+	r.figure("added.p50", nodesP50-directP50, "ms")
+	r.atMost("added.p99", nodesP99-directP99, "ms", millis(hopTarget))
+	return r.hopCost(ctx, fleet, class, direct)
+}
+
+// hopShape is a node without a server of the called service and one with it, so
+// that every call takes two nodes.
+func hopShape() trial.Shape {
+	shape := trial.Coni()
+	shape.Zones = shape.Zones[:1]
+	shape.Services = []trial.Service{
+		{Name: "bookings", ServersPerZone: []int{1}, Slots: 64, Connections: 130},
+		{Name: "availability", ServersPerZone: []int{1}, Slots: 64, Connections: 130},
+	}
+	return shape
+}
+
+func (r *run) hopRound(ctx context.Context, fleet *trial.Fleet, class load.Class, target netip.AddrPort, d time.Duration) *load.ClassReport {
+	report := load.Run(ctx, load.Plan{Targets: []netip.AddrPort{target}, Classes: []load.Class{class}, Duration: d, Seed: r.settings.Seed})
+	r.check(fleet, report)
+	return report.Classes[class.Name]
+}
+
+// hopCost measures processor time and allocations of a call at full speed.
+func (r *run) hopCost(ctx context.Context, fleet *trial.Fleet, class, direct load.Class) error {
+	entry, server := fleet.Instances[0], fleet.Instances[1]
+	directCost, err := closedLoop(ctx, direct, server.Config.Server.Address, r.scaled(hopSaturated))
+	if err != nil {
+		return err
+	}
+	nodesCost, err := closedLoop(ctx, class, entry.Node.Addresses().Caller, r.scaled(hopSaturated))
+	if err != nil {
+		return err
+	}
+	cpu := nodesCost.cpu - directCost.cpu
+	r.figure("cpuPerCall", 1e6*cpu, "us in two nodes")
+	r.figure("callsPerCore", 1/cpu, "calls/s")
+	r.figure("allocationsPerCall", nodesCost.allocations-directCost.allocations, "allocations in two nodes")
+	r.figure("bytesAllocatedPerCall", nodesCost.allocated-directCost.allocated, "B in two nodes")
+	return nil
+}
+
+// callCost is what one call costs the whole process.
+type callCost struct {
+	cpu, allocations, allocated float64
+}
+
+func closedLoop(ctx context.Context, class load.Class, target netip.AddrPort, d time.Duration) (callCost, error) {
+	client := httpclient.New("hop", httpclient.WithConnections(hopWorkers))
+	defer client.Close()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	cpu := processCPU()
+	calls := load.Closed(ctx, client, class, target, hopWorkers, d)
+	cpu = processCPU() - cpu
+	runtime.ReadMemStats(&after)
+	if calls == 0 {
+		return callCost{}, errors.New("no call was answered")
+	}
+	n := float64(calls)
+	return callCost{
+		cpu:         cpu.Seconds() / n,
+		allocations: float64(after.Mallocs-before.Mallocs) / n,
+		allocated:   float64(after.TotalAlloc-before.TotalAlloc) / n,
+	}, nil
+}
+
+// medianQuantile returns the median over the rounds of a quantile, in
+// milliseconds.
+func medianQuantile(rounds []*load.ClassReport, percent float64) float64 {
+	var values []time.Duration
+	for _, round := range rounds {
+		values = append(values, round.Quantile(percent))
+	}
+	return quantile(values, 50)
+}
--- /dev/null
+++ b/internal/report/report.go
@@ -0,0 +1,204 @@
+// Package report writes the results of measurements as a page with plots that
+// opens without a network.
+//
+//	err := report.Write("out", results, report.Run{Revision: revision, Go: runtime.Version()})
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"lavenderdeal/internal/measure"
+)
+
+const (
+	width         = 16 * vg.Centimeter
+	height        = 9 * vg.Centimeter
+	barWidth      = 8
+	glyphRadius   = 1.2
+	filePerm      = 0o644
+	directoryPerm = 0o755
+	// maxLinePoints is the number of points above which a series is drawn as
+	// points.
+	maxLinePoints = 200
+)
+
+var palette = []color.Color{
+	color.RGBA{R: 0x6a, G: 0x3d, B: 0x9a, A: 0xff},
+	color.RGBA{R: 0xe3, G: 0x7a, B: 0x1c, A: 0xff},
+	color.RGBA{R: 0x1f, G: 0x78, B: 0xb4, A: 0xff},
+	color.RGBA{R: 0x33, G: 0x8a, B: 0x2c, A: 0xff},
+	color.RGBA{R: 0xc0, G: 0x2c, B: 0x38, A: 0xff},
+}
+
+// Run says what was run.
+type Run struct {
+	Revision string
+	Go       string
+	Cores    int
+	Date     string
+}
+
+type page struct {
+	Run     Run
+	Results []resultView
+}
+
+type resultView struct {
+	measure.Result
+	Short string
+	Plots []template.HTML
+}
+
+// Write writes index.html into a directory, which it creates.
+func Write(directory string, results []measure.Result, run Run) error {
+	view := page{Run: run}
+	for _, result := range results {
+		plots, err := draws(result.Series)
+		if err != nil {
+			return errors.Wrapf(err, "plots of %s", result.Name)
+		}
+		view.Results = append(view.Results, resultView{Result: result, Short: measure.Short(result.Name), Plots: plots})
+	}
+	var html bytes.Buffer
+	if err := pageTemplate.Execute(&html, view); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(directory, directoryPerm); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(directory, "index.html"), html.Bytes(), filePerm)
+}
+
+// draws draws one plot for each plot that the series name, in their order.
+func draws(series []measure.Series) ([]template.HTML, error) {
+	var names []string
+	byPlot := make(map[string][]measure.Series)
+	for _, s := range series {
+		if _, ok := byPlot[s.Plot]; !ok {
+			names = append(names, s.Plot)
+		}
+		byPlot[s.Plot] = append(byPlot[s.Plot], s)
+	}
+	var plots []template.HTML
+	for _, name := range names {
+		svg, err := drawPlot(name, byPlot[name])
+		if err != nil {
+			return nil, err
+		}
+		plots = append(plots, svg)
+	}
+	return plots, nil
+}
+
+func drawPlot(title string, series []measure.Series) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text, p.Y.Label.Text = series[0].XUnit, series[0].YUnit
+	p.Legend.Top = true
+	for i, s := range series {
+		if err := addSeries(p, s, i, len(series)); err != nil {
+			return "", err
+		}
+	}
+	p.Add(plotter.NewGrid())
+	canvas := vgsvg.New(width, height)
+	p.Draw(draw.New(canvas))
+	var svg bytes.Buffer
+	if _, err := canvas.WriteTo(&svg); err != nil {
+		return "", err
+	}
+	text := svg.String()
+	// The XML prologue does not belong into a page.
+	return template.HTML(text[strings.Index(text, "<svg"):]), nil
+}
+
+func addSeries(p *plot.Plot, s measure.Series, index, of int) error {
+	if len(s.X) == 0 {
+		return nil
+	}
+	paint := palette[index%len(palette)]
+	if len(s.Labels) > 0 {
+		bars, err := plotter.NewBarChart(plotter.Values(s.Y), vg.Points(barWidth))
+		if err != nil {
+			return err
+		}
+		bars.Color = paint
+		bars.Offset = vg.Points(barWidth * (float64(index) - float64(of-1)/2))
+		p.Add(bars)
+		p.NominalX(s.Labels...)
+		p.Legend.Add(s.Name, bars)
+		return nil
+	}
+	points := make(plotter.XYs, len(s.X))
+	for i := range s.X {
+		points[i].X, points[i].Y = s.X[i], s.Y[i]
+	}
+	if len(points) > maxLinePoints {
+		scatter, err := plotter.NewScatter(points)
+		if err != nil {
+			return err
+		}
+		scatter.Color, scatter.Radius = paint, vg.Points(glyphRadius)
+		p.Add(scatter)
+		p.Legend.Add(s.Name, scatter)
+		return nil
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return err
+	}
+	line.Color = paint
+	p.Add(line)
+	p.Legend.Add(s.Name, line)
+	return nil
+}
+
+// Number writes a value with four significant digits.
+func Number(v float64) string { return strconv.FormatFloat(v, 'g', 4, 64) }
+
+// Target writes the target of a figure and whether it was met.
+func Target(f measure.Figure) string {
+	if f.Target == nil {
+		return ""
+	}
+	if *f.Met {
+		return fmt.Sprintf("%s met", Number(*f.Target))
+	}
+	return fmt.Sprintf("%s MISSED", Number(*f.Target))
+}
+
+var pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{"number": Number, "target": Target}).Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>lavenderdeal measurements</title>
+<style>
+body{font:15px/1.5 sans-serif;max-width:60rem;margin:2rem auto;padding:0 1rem;color:#222}
+table{border-collapse:collapse;margin:1rem 0}
+td,th{padding:.2rem .8rem;border-bottom:1px solid #ddd;text-align:left}
+td.n{text-align:right;font-variant-numeric:tabular-nums}
+.broken{color:#c02c38;font-weight:bold}
+svg{max-width:100%;height:auto}
+</style></head><body>
+<h1>lavenderdeal measurements</h1>
+<p>{{.Run.Date}}, revision {{.Run.Revision}}, {{.Run.Go}}, {{.Run.Cores}} cores</p>
+{{range .Results}}<h2>{{.Name}}</h2>
+<p>{{.Short}}; deployment {{.Settings.Deployment}}, seed {{.Seed}}, scale {{number .Settings.Scale}}, {{number .Seconds}} s</p>
+{{range .PromisesBroken}}<p class="broken">{{.}}</p>{{else}}<p>No promise was broken.</p>{{end}}
+<table><tr><th>figure</th><th>value</th><th>unit</th><th>target</th></tr>
+{{range .Figures}}<tr><td>{{.Name}}</td><td class="n">{{number .Value}}</td><td>{{.Unit}}</td><td>{{target .}}</td></tr>
+{{end}}</table>
+{{range .Plots}}<figure>{{.}}</figure>
+{{end}}{{end}}</body></html>
+`))
--- a/internal/trial/shapes.go
+++ b/internal/trial/shapes.go
@@ -21,7 +21,7 @@
 			{Name: "bookings", ServersPerZone: []int{2, 2, 1}, Slots: 18, Connections: 130},
 			{Name: "fieldwork", ServersPerZone: []int{1, 1, 1}, Slots: 18, Connections: 130},
 		},
-		Customers: customers("crew-catania:crew", "crew-palermo:crew", "council-agrigento:council", "depot-ledger:depot"),
+		Customers: Customers("crew-catania:crew", "crew-palermo:crew", "council-agrigento:council", "depot-ledger:depot"),
 		Plans: lists.PlanList{
 			Services: services("availability", "bookings", "fieldwork"),
 			Plans: []lists.Plan{
@@ -44,7 +44,7 @@
 			{Name: "booking", ServersPerZone: []int{1, 1, 1, 1}, Slots: 12, Connections: 120},
 			{Name: "documents", ServersPerZone: []int{1, 1, 1, 1}, Slots: 12, Connections: 120},
 		},
-		Customers: customers("families:visitor", "schools:school", "cruise-line:cruise", "gate:staff"),
+		Customers: Customers("families:visitor", "schools:school", "cruise-line:cruise", "gate:staff"),
 		Plans: lists.PlanList{
 			Services: services("tours", "booking", "documents"),
 			Plans: []lists.Plan{
@@ -88,14 +88,15 @@
 	for c := range customerCount {
 		names = append(names, fmt.Sprintf("customer-%d:crew", c))
 	}
-	shape.Customers = customers(names...)
+	shape.Customers = Customers(names...)
 	return shape
 }
 
 // Key returns the key by which a customer of a trial is known.
 func Key(customer string) string { return customer + "-key" }
 
-func customers(pairs ...string) lists.CustomerList {
+// Customers returns a list of customers from pairs such as "crew-catania:crew".
+func Customers(pairs ...string) lists.CustomerList {
 	list := lists.CustomerList{Customers: []lists.Customer{}}
 	for _, pair := range pairs {
 		name, plan, _ := strings.Cut(pair, ":")
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -198,6 +198,21 @@
 	}
 }
 
+// RestartServer ends the backend server of an instance without notice and starts
+// it again at the same address.
+func (f *Fleet) RestartServer(i *Instance) error {
+	addr := i.listener.Addr()
+	if err := i.listener.Close(); err != nil {
+		return err
+	}
+	listener, err := httpserver.Start(addr, i.Server)
+	if err != nil {
+		return err
+	}
+	i.listener = listener
+	return nil
+}
+
 // Apply writes a new version of the lists.
 func (f *Fleet) Apply(ctx context.Context, customers lists.CustomerList, plans lists.PlanList) (objects.Head, error) {
 	current, err := f.Publisher.Current(ctx)
