--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -133,7 +133,8 @@
 				limit <- struct{}{}
 				calls.Go(func() error {
 					defer func() { <-limit }()
-					call := sender{client: client, targets: plan.Targets, class: class}.send(ctx, id, target)
+					// A run that ends early lets the calls that were sent finish.
+					call := sender{client: client, targets: plan.Targets, class: class}.send(context.WithoutCancel(ctx), id, target)
 					call.Due, call.Latency = due, time.Since(start)-due
 					mu.Lock()
 					defer mu.Unlock()
