--- /dev/null
+++ b/internal/fakenet/fakenet_test.go
@@ -0,0 +1,49 @@
+package fakenet_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"lavenderdeal/internal/fakenet"
+)
+
+var (
+	a = netip.MustParseAddrPort("10.0.0.1:1")
+	b = netip.MustParseAddrPort("10.0.0.2:1")
+)
+
+func TestNetwork(t *testing.T) {
+	t.Run("any packet may come first", func(t *testing.T) {
+		var n fakenet.Network[string]
+		n.Send(a, b, "first")
+		n.Send(a, b, "second")
+		assertTaken(t, &n, 1, "second", true)
+		assertTaken(t, &n, 0, "first", true)
+	})
+	t.Run("a duplicate comes too", func(t *testing.T) {
+		var n fakenet.Network[string]
+		n.Send(a, b, "once")
+		n.Duplicate(0)
+		assertTaken(t, &n, 0, "once", true)
+		assertTaken(t, &n, 0, "once", true)
+	})
+	t.Run("a cut holds in its direction until healed", func(t *testing.T) {
+		var n fakenet.Network[string]
+		n.CutOneWay(a, b)
+		n.Send(a, b, "lost")
+		n.Send(b, a, "back")
+		assertTaken(t, &n, 0, "lost", false)
+		assertTaken(t, &n, 0, "back", true)
+		n.Heal(b, a)
+		n.Send(a, b, "again")
+		assertTaken(t, &n, 0, "again", true)
+	})
+}
+
+func assertTaken(t *testing.T, n *fakenet.Network[string], at int, message string, delivered bool) {
+	t.Helper()
+	packet, ok := n.Take(at)
+	if packet.Message != message || ok != delivered {
+		t.Fatalf("got %q, %v, want %q, %v", packet.Message, ok, message, delivered)
+	}
+}
