--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -6,11 +6,9 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"syscall"
 	"time"
 
 	"lavenderdeal/core/plans"
-	"lavenderdeal/internal/standin/objectapi"
 	"lavenderdeal/internal/trial"
 )
 
@@ -36,13 +34,15 @@
 
 // controlSize is the size of one fleet that is measured.
 type controlSize struct {
-	zones, perZone int
+	zones, perZone, customers int
 }
 
-// The first series grows the zones, the second their number.
+// The first series grows the zones, the second their number, the third the list
+// of customers.
 var (
-	zoneSizes  = []controlSize{{4, 12}, {4, 25}, {4, 50}}
-	zoneCounts = []controlSize{{2, 12}, {4, 12}, {8, 12}}
+	zoneSizes      = []controlSize{{4, 12, 1000}, {4, 25, 1000}, {4, 50, 1000}}
+	zoneCounts     = []controlSize{{2, 12, 1000}, {4, 12, 1000}, {8, 12, 1000}}
+	customerCounts = []controlSize{{4, 12, 1000}, {4, 12, 10000}, {4, 12, 40000}}
 )
 
 // controlSample is what one fleet spent.
@@ -56,7 +56,10 @@
 	eventBytes, eventCPU float64
 	// Calls are calls to the platform, a second and a change.
 	idleCalls, changeCalls float64
-	byMethod               map[string]float64
+	// Busiest figures are those of the node that sent most: a reader, a
+	// representative and a status writer at once.
+	busiestIdleBytes, busiestChangeBytes float64
+	byMethod                             map[string]float64
 }
 
 // control measures what a node spends on control, at several sizes, and works
@@ -87,12 +90,19 @@
 	if err != nil {
 		return err
 	}
-	r.ordinaryDay(bySize, byCount)
+	byCustomers, err := series(customerCounts)
+	if err != nil {
+		return err
+	}
+	extrapolation{run: r, bySize: bySize, byCount: byCount, byCustomers: byCustomers}.ordinaryDay()
+	for _, s := range bySize {
+		r.series = append(r.series, methodSeries(s))
+	}
 	return nil
 }
 
 func controlAt(ctx context.Context, r *run, size controlSize) (controlSample, error) {
-	fleet, err := r.start(ctx, trial.Uniform(size.zones, r.count(size.perZone), controlCustomers))
+	fleet, err := r.start(ctx, trial.Uniform(size.zones, r.count(size.perZone), r.count(size.customers)))
 	if err != nil {
 		return controlSample{}, err
 	}
@@ -108,6 +118,7 @@
 	idle := spent(fleet).since(before)
 	s.idleBytes, s.idleCPU = idle.perNodeSecond(n)
 	s.idleCalls = idle.calls / idle.seconds
+	s.busiestIdleBytes = idle.busiest / idle.seconds
 	s.byMethod = make(map[string]float64, len(idle.byMethod))
 	for method, bytes := range idle.byMethod {
 		s.byMethod[method] = bytes / float64(n) / idle.seconds
@@ -119,6 +130,7 @@
 		return s, err
 	}
 	s.changeBytes, s.changeCPU = change.beyond(s, n, changes)
+	s.busiestChangeBytes = max(0, change.busiest-s.busiestIdleBytes*change.seconds) / float64(changes)
 	s.changeCalls = max(0, change.calls-s.idleCalls*change.seconds) / float64(changes)
 
 	restarts := r.count(controlRestarts)
@@ -172,67 +184,11 @@
 	return after.since(before), nil
 }
 
-// spending is what a fleet spent until now or between two moments.
-type spending struct {
-	at       time.Time
-	seconds  float64
-	bytes    float64
-	cpu      float64
-	calls    float64
-	byMethod map[string]float64
-}
-
-func spent(fleet *trial.Fleet) spending {
-	s := spending{at: time.Now(), cpu: processCPU().Seconds(), byMethod: make(map[string]float64)}
-	for _, i := range fleet.Running() {
-		traffic := i.Node.ControlTraffic()
-		s.bytes += float64(traffic.BytesOut)
-		for method, n := range traffic.ByMethod {
-			s.byMethod[method] += float64(n)
-		}
-	}
-	s.calls = platformCalls(fleet.Store.Counts())
-	return s
-}
-
-func (s spending) since(before spending) spending {
-	d := spending{
-		seconds:  s.at.Sub(before.at).Seconds(),
-		bytes:    s.bytes - before.bytes,
-		cpu:      s.cpu - before.cpu,
-		calls:    s.calls - before.calls,
-		byMethod: make(map[string]float64),
-	}
-	for method, n := range s.byMethod {
-		d.byMethod[method] = n - before.byMethod[method]
-	}
-	return d
-}
-
-func (s spending) perNodeSecond(nodes int) (bytes, cpu float64) {
-	return s.bytes / float64(nodes) / s.seconds, s.cpu / float64(nodes) / s.seconds
-}
-
-// beyond returns what was spent beyond the idle fleet, for a node and an event.
-func (s spending) beyond(idle controlSample, nodes, events int) (bytes, cpu float64) {
-	bytes = s.bytes/float64(nodes) - idle.idleBytes*s.seconds
-	cpu = s.cpu/float64(nodes) - idle.idleCPU*s.seconds
-	return max(0, bytes) / float64(events), max(0, cpu) / float64(events)
-}
-
-func platformCalls(c objectapi.Counts) float64 { return float64(c.Reads + c.Writes) }
-
-func processCPU() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 func (r *run) sampleFigures(s controlSample) {
-	at := fmt.Sprintf("%dx%d.", s.zones, s.perZone)
+	at := fmt.Sprintf("%dx%d.%dCustomers.", s.zones, s.perZone, s.customers)
 	r.figure(at+"idleBytes", s.idleBytes, "B/s a node")
+	r.figure(at+"busiestIdleBytes", s.busiestIdleBytes, "B/s")
+	r.figure(at+"busiestBytesPerChange", s.busiestChangeBytes, "B")
 	r.figure(at+"idleCore", 100*s.idleCPU, "% of a core a node")
 	r.figure(at+"bytesPerChange", s.changeBytes, "B a node")
 	r.figure(at+"cpuPerChange", 1e6*s.changeCPU, "us a node")
@@ -245,53 +201,6 @@
 	}
 }
 
-// ordinaryDay extrapolates the samples to the size of the letter.
-func (r *run) ordinaryDay(bySize, byCount []controlSample) {
-	at := func(name, unit string, value func(controlSample) float64) float64 {
-		size := fitSamples(bySize, func(s controlSample) float64 { return float64(s.perZone) }, value)
-		count := fitSamples(byCount, func(s controlSample) float64 { return float64(s.zones) }, value)
-		atLetter := size.at(letterNodes/letterZones) + max(0, count.slope)*(letterZones-controlZones)
-		r.figure("slope."+name+".zoneSize", size.slope, unit+" for each node of a zone")
-		r.figure("slope."+name+".zones", count.slope, unit+" for each zone")
-		r.figure("slope."+name+".spread", max(size.spread, count.spread), unit)
-		r.figure("letter."+name, atLetter, unit)
-		return atLetter
-	}
-	changes, restarts := float64(letterChanges)/daySeconds, float64(letterRestarts)/daySeconds
-	bytes := at("idleBytes", "B/s a node", func(s controlSample) float64 { return s.idleBytes }) +
-		changes*at("bytesPerChange", "B a node", func(s controlSample) float64 { return s.changeBytes }) +
-		restarts*at("bytesPerRestart", "B a node", func(s controlSample) float64 { return s.eventBytes })
-	core := at("idleCore", "% of a core a node", func(s controlSample) float64 { return 100 * s.idleCPU }) +
-		changes*at("corePerChange", "% s a node", func(s controlSample) float64 { return 100 * s.changeCPU }) +
-		restarts*at("corePerRestart", "% s a node", func(s controlSample) float64 { return 100 * s.eventCPU })
-	calls := at("platformCallsIdle", "calls/s", func(s controlSample) float64 { return s.idleCalls }) +
-		changes*at("platformCallsPerChange", "calls", func(s controlSample) float64 { return s.changeCalls })
-	r.atMost("ordinaryDay.bytes", bytes, "B/s a node", bytesTarget)
-	r.atMost("ordinaryDay.core", core, "% of a core a node", 100*coreShareTarget)
-	r.atMost("ordinaryDay.platformCalls", calls, "calls/s", platformReadLimit)
-	for _, s := range bySize {
-		r.series = append(r.series, methodSeries(s))
-	}
-}
-
-func methodSeries(s controlSample) Series {
-	series := Series{Plot: "control bytes by kind", Name: fmt.Sprintf("%d zones of %d", s.zones, s.perZone), XUnit: "kind", YUnit: "B/s a node"}
-	for i, method := range slices.Sorted(maps.Keys(s.byMethod)) {
-		series.Labels = append(series.Labels, method)
-		series.X = append(series.X, float64(i))
-		series.Y = append(series.Y, s.byMethod[method])
-	}
-	return series
-}
-
-func fitSamples(samples []controlSample, size, value func(controlSample) float64) line {
-	var x, y []float64
-	for _, s := range samples {
-		x, y = append(x, size(s)), append(y, value(s))
-	}
-	return fit(x, y)
-}
-
 func newKeyHash(seed uint64, n int) string {
 	return plans.HashKey(fmt.Sprintf("changed-%d-%d", seed, n))
 }
--- /dev/null
+++ b/internal/measure/spending.go
@@ -0,0 +1,74 @@
+package measure
+
+import (
+	"syscall"
+	"time"
+
+	"lavenderdeal/internal/standin/objectapi"
+	"lavenderdeal/internal/trial"
+)
+
+// spending is what a fleet spent until now or between two moments.
+type spending struct {
+	at       time.Time
+	seconds  float64
+	bytes    float64
+	cpu      float64
+	calls    float64
+	byMethod map[string]float64
+	byNode   map[string]float64
+	// busiest is the most that one node sent.
+	busiest float64
+}
+
+func spent(fleet *trial.Fleet) spending {
+	s := spending{at: time.Now(), cpu: processCPU().Seconds(), byMethod: make(map[string]float64), byNode: make(map[string]float64)}
+	for _, i := range fleet.Running() {
+		traffic := i.Node.ControlTraffic()
+		s.bytes += float64(traffic.BytesOut)
+		s.byNode[i.Node.ID()] = float64(traffic.BytesOut)
+		for method, n := range traffic.ByMethod {
+			s.byMethod[method] += float64(n)
+		}
+	}
+	s.calls = platformCalls(fleet.Store.Counts())
+	return s
+}
+
+func (s spending) since(before spending) spending {
+	d := spending{
+		seconds:  s.at.Sub(before.at).Seconds(),
+		bytes:    s.bytes - before.bytes,
+		cpu:      s.cpu - before.cpu,
+		calls:    s.calls - before.calls,
+		byMethod: make(map[string]float64),
+	}
+	for method, n := range s.byMethod {
+		d.byMethod[method] = n - before.byMethod[method]
+	}
+	for id, n := range s.byNode {
+		d.busiest = max(d.busiest, n-before.byNode[id])
+	}
+	return d
+}
+
+func (s spending) perNodeSecond(nodes int) (bytes, cpu float64) {
+	return s.bytes / float64(nodes) / s.seconds, s.cpu / float64(nodes) / s.seconds
+}
+
+// beyond returns what was spent beyond the idle fleet, for a node and an event.
+func (s spending) beyond(idle controlSample, nodes, events int) (bytes, cpu float64) {
+	bytes = s.bytes/float64(nodes) - idle.idleBytes*s.seconds
+	cpu = s.cpu/float64(nodes) - idle.idleCPU*s.seconds
+	return max(0, bytes) / float64(events), max(0, cpu) / float64(events)
+}
+
+func platformCalls(c objectapi.Counts) float64 { return float64(c.Reads + c.Writes) }
+
+func processCPU() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
