--- a/cmd/lavenderdeal/standin.go
+++ b/cmd/lavenderdeal/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,13 @@
 	"lavenderdeal/internal/standin/objectapi"
 )
 
+// Paths that steer the stand-ins.
+const (
+	runsPath = "/standin/runs"
+	downPath = "/standin/down"
+	upPath   = "/standin/up"
+)
+
 func standinCommand(stdout, stderr io.Writer) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "standin",
@@ -24,9 +32,9 @@
 		Exec:       needSubcommand,
 		Subcommands: []*ffcli.Command{
 			standinServer("platform", "the platform's object API", stdout, stderr,
-				func(string, int) http.Handler { return objectapi.New() }),
+				func(string, int) http.Handler { return controlledPlatform(objectapi.New()) }),
 			standinServer("server", "a backend server", stdout, stderr,
-				func(name string, slots int) http.Handler { return backend.New(name, slots) }),
+				func(name string, slots int) http.Handler { return recordedServer(backend.New(name, slots)) }),
 		},
 	}
 }
@@ -56,3 +64,28 @@
 		},
 	}
 }
+
+// recordedServer serves the runs that a stand-in server recorded beside it.
+func recordedServer(server *backend.Server) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != runsPath {
+			server.ServeHTTP(w, r)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(server.Runs())
+	})
+}
+
+// controlledPlatform lets a trial put the platform down and up again.
+func controlledPlatform(store *objectapi.Store) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case downPath:
+			store.SetFaults(objectapi.Faults{Down: true})
+		case upPath:
+			store.SetFaults(objectapi.Faults{})
+		default:
+			store.ServeHTTP(w, r)
+		}
+	})
+}
