commit, collect, publish: settle lost answers, keep history, collect chunks

Cause: the publisher wrote the head and reported an error when the answer was lost; nothing was kept of replaced heads, and chunks stayed for good. Change: pure machines in core/commit and core/collect, driven by internal/publish. A copy of the replaced head is written before the head, which settles lost answers exactly. A collection rewrites the head before it removes anything, so that older publishers begin anew; no clock is relied on.

--- /dev/null
+++ b/internal/publish/history.go
@@ -0,0 +1,177 @@
+package publish
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"lavenderdeal/core/chunk"
+	"lavenderdeal/core/collect"
+	"lavenderdeal/core/commit"
+	"lavenderdeal/core/objectop"
+	"lavenderdeal/io/platform"
+	"lavenderdeal/schema/lists"
+	"lavenderdeal/schema/objects"
+)
+
+// readers is how many objects are read at once.
+const readers = 8
+
+// ErrNoVersion says that the platform has no such version, or no longer.
+var ErrNoVersion = errors.New("the platform has no such version")
+
+// CollectSlack is how many copies above those that are kept make a collection
+// due.
+const CollectSlack = 50
+
+// History returns the newest heads, the newest first, at most n.
+func (s Store) History(ctx context.Context, n int) ([]objects.Head, error) {
+	current, err := s.newest(ctx)
+	if err != nil || current.Revision == 0 {
+		return nil, err
+	}
+	entries, err := s.Objects.List(ctx, objectop.CopyPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "list copies of heads")
+	}
+	slices.Reverse(entries)
+	heads := []objects.Head{current.Head}
+	for _, entry := range entries {
+		if len(heads) >= n {
+			break
+		}
+		if entry.Key == commit.CopyKey(current.Head) {
+			continue
+		}
+		head, err := s.readCopy(ctx, entry.Key)
+		if errors.Is(err, platform.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		heads = append(heads, head)
+	}
+	return heads, nil
+}
+
+// Find returns the head of a version, the newest or a kept one. When a restored
+// platform holds two under one number, it is the newest head or the last copy.
+func (s Store) Find(ctx context.Context, version uint64) (objects.Head, error) {
+	current, err := s.newest(ctx)
+	if err != nil {
+		return objects.Head{}, err
+	}
+	if current.Revision != 0 && current.Head.Version == version {
+		return current.Head, nil
+	}
+	entries, err := s.Objects.List(ctx, objectop.CopyPrefix)
+	if err != nil {
+		return objects.Head{}, errors.Wrap(err, "list copies of heads")
+	}
+	slices.Reverse(entries)
+	for _, entry := range entries {
+		if v, ok := commit.CopyVersion(entry.Key); ok && v == version {
+			return s.readCopy(ctx, entry.Key)
+		}
+	}
+	return objects.Head{}, errors.Wrapf(ErrNoVersion, "version %d", version)
+}
+
+func (s Store) readCopy(ctx context.Context, key string) (objects.Head, error) {
+	object, err := s.Objects.Get(ctx, key)
+	if err != nil {
+		return objects.Head{}, errors.Wrap(err, key)
+	}
+	head, err := headDecoder.Decode(object.Value)
+	return head, errors.Wrap(err, key)
+}
+
+// Load reads both lists of a version. Each chunk is checked against its hash.
+func (s Store) Load(ctx context.Context, head objects.Head) (lists.CustomerList, lists.PlanList, error) {
+	var customers lists.CustomerList
+	var planList lists.PlanList
+	customerChunks, err := s.chunks(ctx, head.CustomerChunks)
+	if err != nil {
+		return customers, planList, err
+	}
+	planChunks, err := s.chunks(ctx, head.PlanChunks)
+	if err != nil {
+		return customers, planList, err
+	}
+	for _, data := range customerChunks {
+		part, err := DecodeCustomers(data)
+		if err != nil {
+			return customers, planList, err
+		}
+		customers.Customers = append(customers.Customers, part.Customers...)
+	}
+	for _, data := range planChunks {
+		part, err := DecodePlans(data)
+		if err != nil {
+			return customers, planList, err
+		}
+		planList.Plans = append(planList.Plans, part.Plans...)
+		planList.Services = append(planList.Services, part.Services...)
+	}
+	return customers, planList, nil
+}
+
+func (s Store) chunks(ctx context.Context, hashes []string) ([][]byte, error) {
+	data := make([][]byte, len(hashes))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(readers)
+	for i, hash := range hashes {
+		group.Go(func() error {
+			object, err := s.Objects.Get(ctx, ChunkPrefix+hash)
+			if err != nil {
+				return errors.Wrapf(err, "chunk %s", hash)
+			}
+			if chunk.Of(object.Value).Hash != hash {
+				return errors.Newf("chunk %s has other content", hash)
+			}
+			data[i] = object.Value
+			return nil
+		})
+	}
+	return data, group.Wait()
+}
+
+// Restore writes a new version with the content of an old one.
+func (s Store) Restore(ctx context.Context, after Current, version uint64, change Change) (objects.Head, error) {
+	old, err := s.Find(ctx, version)
+	if err != nil {
+		return objects.Head{}, err
+	}
+	customers, planList, err := s.Load(ctx, old)
+	if err != nil {
+		return objects.Head{}, errors.Wrapf(err, "version %d cannot be read whole", version)
+	}
+	return s.Apply(ctx, after, customers, planList, change)
+}
+
+// Collect removes the copies of heads and the chunks that are not kept.
+func (s Store) Collect(ctx context.Context, opts ...collect.Option) collect.Report {
+	m := collect.New(opts...)
+	s.run(ctx, m)
+	report := m.Report()
+	if !m.Finished() {
+		report.Err = ctx.Err()
+	}
+	return report
+}
+
+// CollectWhenDue is like Collect and does nothing as long as there are few
+// copies above those that are kept.
+func (s Store) CollectWhenDue(ctx context.Context) collect.Report {
+	entries, err := s.Objects.List(ctx, objectop.CopyPrefix)
+	if err != nil {
+		return collect.Report{Err: err}
+	}
+	if len(entries) < collect.DefaultKeep+CollectSlack {
+		return collect.Report{}
+	}
+	return s.Collect(ctx)
+}
--- a/schema/objects/objects.gen.go
+++ b/schema/objects/objects.gen.go
@@ -73,6 +73,9 @@
 	// Missing corresponds to the JSON schema field "missing".
 	Missing []Lag `json:"missing,omitempty,omitzero" yaml:"missing,omitempty"`
 
+	// Operation of that version's head. Empty when the writer does not tell.
+	Operation string `json:"operation,omitempty,omitzero" yaml:"operation,omitempty"`
+
 	// Newest version that the zone knows.
 	Version uint64 `json:"version" yaml:"version"`
 
