--- /dev/null
+++ b/core/listdiff/listdiff.go
@@ -0,0 +1,122 @@
+// Package listdiff says what differs between two versions of the lists.
+//
+//	for _, change := range listdiff.Compare(old, updated) {
+//		fmt.Println(change)
+//	}
+package listdiff
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"lavenderdeal/schema/lists"
+)
+
+// Lists is both lists of one version.
+type Lists struct {
+	Customers lists.CustomerList
+	Plans     lists.PlanList
+}
+
+// Kind is added, removed or changed.
+type Kind string
+
+// Kinds of a change.
+const (
+	Added   Kind = "added"
+	Removed Kind = "removed"
+	Changed Kind = "changed"
+)
+
+// Change is one entry that differs.
+type Change struct {
+	Kind Kind `json:"kind"`
+	// Entry is customer, plan or service.
+	Entry string `json:"entry"`
+	Name  string `json:"name"`
+	// Detail says in words what differs; empty for entries that were removed.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Compare returns every difference, by kind of entry and then by name. The order
+// of entries in a list makes no difference.
+func Compare(old, updated Lists) []Change {
+	var changes []Change
+	changes = append(changes, compare("service", old.Plans.Services, updated.Plans.Services,
+		func(s lists.Service) string { return s.Name }, describeService)...)
+	changes = append(changes, compare("plan", old.Plans.Plans, updated.Plans.Plans,
+		func(p lists.Plan) string { return p.Name }, describePlan)...)
+	return append(changes, compare("customer", old.Customers.Customers, updated.Customers.Customers,
+		func(c lists.Customer) string { return c.Name }, describeCustomer)...)
+}
+
+func compare[T any](entry string, old, updated []T, name func(T) string, describe func(T) []string) []Change {
+	before := make(map[string]T, len(old))
+	for _, v := range old {
+		before[name(v)] = v
+	}
+	var changes []Change
+	for _, v := range updated {
+		previous, ok := before[name(v)]
+		delete(before, name(v))
+		if !ok {
+			changes = append(changes, Change{Added, entry, name(v), strings.Join(describe(v), ", ")})
+			continue
+		}
+		if detail := differences(describe(previous), describe(v)); detail != "" {
+			changes = append(changes, Change{Changed, entry, name(v), detail})
+		}
+	}
+	for removed := range before {
+		changes = append(changes, Change{Kind: Removed, Entry: entry, Name: removed})
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Name, b.Name) })
+	return changes
+}
+
+// differences lists the fields that only one of the two has.
+func differences(old, updated []string) string {
+	var parts []string
+	for _, field := range old {
+		if !slices.Contains(updated, field) {
+			parts = append(parts, "-"+field)
+		}
+	}
+	for _, field := range updated {
+		if !slices.Contains(old, field) {
+			parts = append(parts, "+"+field)
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
+func describeCustomer(c lists.Customer) []string {
+	fields := []string{"plan=" + c.Plan}
+	for _, hash := range c.KeyHashes {
+		fields = append(fields, "keyHash="+hash)
+	}
+	return fields
+}
+
+func describeService(s lists.Service) []string {
+	return []string{"timeout=" + s.Timeout.String()}
+}
+
+func describePlan(p lists.Plan) []string {
+	var fields []string
+	for _, u := range p.Uses {
+		fields = append(fields, fmt.Sprintf("%s(priority=%s methods=%v pathPrefixes=%v callsPerSecond=%v concurrent=%d)",
+			u.Service, u.Priority, u.Methods, u.PathPrefixes, u.CallsPerSecond, u.Concurrent))
+	}
+	return fields
+}
+
+func (c Change) String() string {
+	text := string(c.Kind) + " " + c.Entry + " " + c.Name
+	if c.Detail != "" {
+		text += ": " + c.Detail
+	}
+	return text
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -152,7 +152,7 @@
 	if n.callerServer, err = httpserver.Start(n.cfg.Listen.Caller, entry); err != nil {
 		return err
 	}
-	handler := &operator.Handler{Status: n.Status, Ring: n.ring, Metrics: n.metrics.Map()}
+	handler := &operator.Handler{Status: n.Status, Ring: n.ring, Metrics: n.metrics.Map(), Key: n.cfg.OperatorKey, Counters: n.metrics}
 	if n.operatorServer, err = httpserver.Start(n.cfg.Listen.Operator, handler); err != nil {
 		return err
 	}
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -1,20 +1,37 @@
-// Package operator serves a node's status, metrics and reasons to operators.
+// Package operator serves a node's status, metrics and reasons to operators, and
+// takes their writes. [Client] is the other end.
 //
-// All paths answer with JSON:
+// # Reads
 //
-//	/status   what the node is and has in force
-//	/explain  the newest changes of state with their evidence
-//	/metrics  counters and histograms
+// They need no key and answer with JSON:
+//
+//	GET /status   what the node is and has in force
+//	GET /explain  the newest changes of state with their evidence
+//	GET /metrics  counters and histograms
+//
+// # Writes
+//
+// They need the operator key as a bearer token. Without an operator key in the
+// node's settings all writes are refused.
+//
+//	POST /quarantine/lift?fingerprint=F  lets calls with the fingerprint run again
+//	POST /drain                          makes the node leave as on SIGTERM
 package operator
 
 import (
+	"crypto/sha256"
+	"crypto/subtle"
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"strings"
 
 	"lavenderdeal/core/explain"
+	"lavenderdeal/internal/metrics"
 )
 
+const maxFingerprint = 256
+
 // Status is what a node says of itself.
 type Status struct {
 	ID      string `json:"id"`
@@ -28,28 +45,148 @@
 	Release string         `json:"release"`
 }
 
+// Quarantine is the node's list of fingerprints whose calls are refused.
+type Quarantine interface {
+	// Lift lets calls with the fingerprint run again. It returns false when the
+	// fingerprint is not in quarantine.
+	Lift(fingerprint string) bool
+}
+
+// Drainer makes the node leave.
+type Drainer interface {
+	// Drain begins a planned stop and returns at once. A second call has no
+	// effect.
+	Drain()
+}
+
+// Problem is the body of a refusal.
+type Problem struct {
+	// Rule names what refused the request, in camel case.
+	Rule   string `json:"rule"`
+	Detail string `json:"detail"`
+}
+
+// Lifted is the answer to /quarantine/lift.
+type Lifted struct {
+	Fingerprint string `json:"fingerprint"`
+}
+
+// Draining is the answer to /drain.
+type Draining struct {
+	State string `json:"state"`
+}
+
 // Handler answers on the operator port.
 type Handler struct {
 	Status  func() Status
 	Ring    *explain.Ring
 	Metrics *expvar.Map
+	// Key is the operator key. Empty refuses all writes.
+	Key string
+	// Counters counts refused keys; nil counts nothing.
+	Counters *metrics.Set
+	// Quarantine may be nil: then there is none to lift.
+	Quarantine Quarantine
+	// Drainer may be nil: then the node cannot be drained from here.
+	Drainer Drainer
 }
 
 // ServeHTTP answers a request of an operator.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodGet {
-		w.WriteHeader(http.StatusMethodNotAllowed)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
 	switch r.URL.Path {
 	case "/status":
-		_ = json.NewEncoder(w).Encode(h.Status())
+		read(w, r, h.Status)
 	case "/explain":
-		_ = json.NewEncoder(w).Encode(h.Ring.Records())
+		read(w, r, h.Ring.Records)
 	case "/metrics":
-		_, _ = w.Write([]byte(h.Metrics.String()))
+		read(w, r, func() json.RawMessage { return json.RawMessage(h.Metrics.String()) })
+	case "/quarantine/lift":
+		write(h, w, r, h.lift)
+	case "/drain":
+		write(h, w, r, h.drain)
 	default:
-		w.WriteHeader(http.StatusNotFound)
+		refuse(w, http.StatusNotFound, "pathUnknown", "no such path")
+	}
+}
+
+// read answers a GET request with a value.
+func read[T any](w http.ResponseWriter, r *http.Request, value func() T) {
+	if r.Method != http.MethodGet {
+		w.Header().Set("Allow", http.MethodGet)
+		refuse(w, http.StatusMethodNotAllowed, "methodForbidden", "only GET reads")
+		return
+	}
+	answer(w, http.StatusOK, value())
+}
+
+// write answers a POST request that has the operator key.
+func write[T any](h *Handler, w http.ResponseWriter, r *http.Request, do func(*http.Request) (T, *refusal)) {
+	if r.Method != http.MethodPost {
+		w.Header().Set("Allow", http.MethodPost)
+		refuse(w, http.StatusMethodNotAllowed, "methodForbidden", "only POST writes")
+		return
+	}
+	if h.Key == "" {
+		refuse(w, http.StatusForbidden, "operatorKeyNotSet", "the node has no operator key, so it takes no writes")
+		return
+	}
+	if !h.hasKey(r) {
+		h.count("operatorKeysRefused")
+		refuse(w, http.StatusUnauthorized, "operatorKeyWrong", "the operator key is missing or wrong")
+		return
+	}
+	value, refused := do(r)
+	if refused != nil {
+		refuse(w, refused.status, refused.rule, refused.detail)
+		return
+	}
+	h.count("operatorWrites")
+	answer(w, http.StatusOK, value)
+}
+
+type refusal struct {
+	status       int
+	rule, detail string
+}
+
+// hasKey compares hashes, so that the time tells neither content nor length.
+func (h *Handler) hasKey(r *http.Request) bool {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	given, want := sha256.Sum256([]byte(token)), sha256.Sum256([]byte(h.Key))
+	return subtle.ConstantTimeCompare(given[:], want[:]) == 1 && ok
+}
+
+func (h *Handler) lift(r *http.Request) (Lifted, *refusal) {
+	fingerprint := r.URL.Query().Get("fingerprint")
+	switch {
+	case fingerprint == "" || len(fingerprint) > maxFingerprint:
+		return Lifted{}, &refusal{http.StatusBadRequest, "fingerprintInvalid", "fingerprint: want 1 to 256 characters"}
+	case h.Quarantine == nil || !h.Quarantine.Lift(fingerprint):
+		return Lifted{}, &refusal{http.StatusNotFound, "fingerprintUnknown", "the fingerprint is not in quarantine"}
 	}
+	return Lifted{Fingerprint: fingerprint}, nil
+}
+
+func (h *Handler) drain(*http.Request) (Draining, *refusal) {
+	if h.Drainer == nil {
+		return Draining{}, &refusal{http.StatusNotImplemented, "drainNotSupported", "this node is drained by SIGTERM only"}
+	}
+	h.Drainer.Drain()
+	return Draining{State: "leaving"}, nil
+}
+
+func (h *Handler) count(name string) {
+	if h.Counters != nil {
+		h.Counters.Add(name, 1)
+	}
+}
+
+func refuse(w http.ResponseWriter, status int, rule, detail string) {
+	answer(w, status, Problem{Rule: rule, Detail: detail})
+}
+
+func answer(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
 }
