--- a/core/confirm/confirm.go
+++ b/core/progress/progress.go
@@ -1,11 +1,11 @@
-// Package confirm judges how far the availability zones have confirmed a version
+// Package progress judges how far the availability zones have confirmed a version
 // of the plans.
 //
-//	progress := confirm.Judge(head, status)
-//	if progress.Confirmed {
+//	p := progress.Judge(head, status)
+//	if p.Confirmed {
 //		fmt.Println(status.Zone, "has it in force")
 //	}
-package confirm
+package progress
 
 import (
 	"fmt"
--- a/core/confirm/confirm_test.go
+++ b/core/progress/progress_test.go
@@ -1,9 +1,9 @@
-package confirm_test
+package progress_test
 
 import (
 	"testing"
 
-	"lavenderdeal/core/confirm"
+	"lavenderdeal/core/progress"
 	"lavenderdeal/schema/objects"
 )
 
@@ -23,7 +23,7 @@
 		{"no members", objects.ZoneStatus{Version: 7}, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			p := confirm.Judge(head, tt.status)
+			p := progress.Judge(head, tt.status)
 			if p.Confirmed != tt.confirmed || (p.Reason == "") != tt.confirmed {
 				t.Errorf("progress %+v, want confirmed %t and a reason otherwise", p, tt.confirmed)
 			}
