follow: relay versions by readers and a tree, confirm and gate the start

Until now every node watched the platform and fetched every chunk of every version from it, so the platform's load grew with the nodes.

- core/follow: state machine of one node.
It takes a version only when the number is higher, all chunks match their hashes and the lists are valid as a whole; rejections, conflicts and an older store are remembered.
- core/relay: two readers a zone by rendezvous; a tree whose parts travel with the message, so that a failed child's part is taken over by its parent.
- core/floor: a new process serves only once it knows the oldest version that it may serve, from the platform, a reader or the peers.
- core/confirm: status of the zone, written by its first reader on change, at most once a second.
- internal/follow joins them to the platform and the peers.
Announcements carry the edits of the head, chunks travel compressed.

--- /dev/null
+++ b/internal/follow/confirm.go
@@ -0,0 +1,157 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lavenderdeal/core/confirm"
+	"lavenderdeal/io/peer"
+	"lavenderdeal/io/platform"
+	"lavenderdeal/schema/messages"
+	"lavenderdeal/schema/objects"
+)
+
+const (
+	// statusPrefix is where the statuses of the zones are, by zone.
+	statusPrefix  = "status/"
+	reportTimeout = 1 * time.Second
+	// reportPeriod is about how often a node repeats its report, in case that
+	// one was lost.
+	reportPeriod = 30 * time.Second
+	// retryReport is about how long a node waits before it repeats a report that
+	// failed.
+	retryReport = 1 * time.Second
+	statusTick  = 200 * time.Millisecond
+	// writerPause is how long a new reader gathers reports before it writes.
+	writerPause = 3 * time.Second
+)
+
+// report tells the readers of the zone what this node has in force, on each
+// change and slowly again.
+func (l *Loop) report(ctx context.Context) {
+	var sequence uint64
+	var sent messages.Confirm
+	var sentTo []string
+	due := time.Now()
+	for ctx.Err() == nil {
+		current, readers := l.ownReport()
+		same := current.Version == sent.Version && current.Rejected == sent.Rejected && slices.Equal(readers, sentTo)
+		if same && time.Now().Before(due) || len(readers) == 0 {
+			sleep(ctx, tickPeriod)
+			continue
+		}
+		sequence++
+		current.Sequence = sequence
+		due = time.Now().Add(jitter(reportPeriod))
+		if !l.sendReport(ctx, current, readers) {
+			due = time.Now().Add(jitter(retryReport))
+		}
+		sent, sentTo = current, readers
+	}
+}
+
+func (l *Loop) ownReport() (messages.Confirm, []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := messages.Confirm{Version: l.Plans.Number(), Reasons: []string{}}
+	if l.view != nil {
+		c.From = l.view.Self().Id
+	}
+	if r, ok := l.machine.Rejected(); ok {
+		c.Rejected, c.Reasons = r.Number, r.Reasons
+	}
+	return c, l.readers
+}
+
+func (l *Loop) sendReport(ctx context.Context, c messages.Confirm, readers []string) bool {
+	ok := true
+	for _, id := range readers {
+		if id == c.From {
+			_, _ = l.takeConfirm(ctx, c)
+			continue
+		}
+		to, found := l.address(id)
+		if !found {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		_, err := peer.Call[messages.Empty](ctx, l.Endpoint, to, confirmMethod, c)
+		cancel()
+		if err != nil {
+			l.Metrics.Add("reportErrors", 1)
+			ok = false
+		}
+	}
+	return ok
+}
+
+// writeStatus writes the status of the zone while this node is its first reader.
+func (l *Loop) writeStatus(ctx context.Context) {
+	var revision platform.Revision
+	for ctx.Err() == nil {
+		sleep(ctx, statusTick)
+		status, action := l.nextStatus()
+		switch action {
+		case confirm.Read:
+			revision = l.readStatus(ctx, status.Zone)
+		case confirm.Write:
+			revision = l.putStatus(ctx, status, revision)
+		case confirm.Nothing:
+		}
+	}
+}
+
+func (l *Loop) nextStatus() (objects.ZoneStatus, confirm.Action) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.view == nil || !l.isReader || l.readers[0] != l.view.Self().Id || time.Since(l.readerAt) < writerPause {
+		return objects.ZoneStatus{}, confirm.Nothing
+	}
+	self := l.view.Self()
+	status := l.table.Status(self.Zone, l.view.Zone(self.Zone), l.machine.Newest())
+	status.Writer = self.Id
+	return status, l.writer.Next(time.Now(), status)
+}
+
+func (l *Loop) readStatus(ctx context.Context, zone string) platform.Revision {
+	object, err := l.Platform.Get(ctx, statusPrefix+zone)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		l.Metrics.Add("platformErrors", 1)
+		l.writer.Lost(time.Now())
+		return 0
+	}
+	var found objects.ZoneStatus
+	if err == nil {
+		// What cannot be read is written again.
+		_ = json.Unmarshal(object.Value, &found)
+	}
+	l.writer.Found(time.Now(), found)
+	return object.Revision
+}
+
+// putStatus writes the status over the revision that was read. After a lost race
+// or answer the object is read before the next write.
+func (l *Loop) putStatus(ctx context.Context, status objects.ZoneStatus, after platform.Revision) platform.Revision {
+	status.WrittenAt = time.Now().UTC()
+	value, err := json.Marshal(status)
+	if err != nil {
+		return after
+	}
+	revision, err := l.Platform.Put(ctx, statusPrefix+status.Zone, value, after)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.Metrics.Add("statusErrors", 1)
+		l.writer.Lost(time.Now())
+		return 0
+	}
+	l.Metrics.Add("statusWrites", 1)
+	l.writer.Wrote(time.Now(), status)
+	return revision
+}
--- /dev/null
+++ b/internal/follow/serve.go
@@ -0,0 +1,112 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lavenderdeal/core/confirm"
+	core "lavenderdeal/core/follow"
+	"lavenderdeal/io/peer"
+	"lavenderdeal/schema/messages"
+)
+
+const (
+	confirmMethod = "confirm"
+	// maxAnswer bounds the compressed chunks of one answer, in bytes. It stays
+	// below the longest message, also in base64.
+	maxAnswer = 2 << 20
+	// busyPause is about how long a node that is refused chunks should wait.
+	busyPause = 100 * time.Millisecond
+)
+
+var errNotRunning = errors.New("this node is not following versions yet")
+
+// Handle registers the messages that the loop answers.
+func (l *Loop) Handle(mux *peer.Mux) {
+	peer.Handle(mux, headMethod, l.answerHead)
+	peer.Handle(mux, chunksMethod, l.answerChunks)
+	peer.Handle(mux, announceMethod, l.takeAnnounce)
+	peer.Handle(mux, confirmMethod, l.takeConfirm)
+}
+
+func (l *Loop) answerHead(_ context.Context, q messages.GetHead) (messages.HeldHead, error) {
+	l.mu.Lock()
+	held := l.machine.Held()
+	answer := messages.HeldHead{
+		Version: held.Version, Hash: held.Hash, Head: []byte{},
+		Ready: l.opened != nil, Platform: l.platform,
+	}
+	l.mu.Unlock()
+	l.step(core.VersionHeard{From: core.Source(q.From), Number: q.Version})
+	if held.Hash == q.Hash || held.Version < q.Version {
+		return answer, nil
+	}
+	data, err := compress(held.Raw)
+	answer.Head = data
+	return answer, err
+}
+
+// answerChunks sends those of the chunks that are here, as many as fit. It
+// refuses while too many others are being served.
+func (l *Loop) answerChunks(_ context.Context, q messages.GetChunks) (messages.Chunks, error) {
+	answer := messages.Chunks{Chunks: [][]byte{}}
+	defer l.transfers.Add(-1)
+	if l.transfers.Add(1) > maxTransfers {
+		l.Metrics.Add("transfersRefused", 1)
+		answer.RetryAfterMillis = int64(1 + rand.N(2*busyPause)/time.Millisecond)
+		return answer, nil
+	}
+	l.mu.Lock()
+	chunks := l.machine.Chunks()
+	l.mu.Unlock()
+	size := 0
+	for _, hash := range q.Hashes {
+		data, ok := chunks[hash]
+		if !ok {
+			continue
+		}
+		packed, err := compress(data)
+		if err != nil {
+			return answer, err
+		}
+		if size += len(packed); size > maxAnswer && len(answer.Chunks) > 0 {
+			break
+		}
+		answer.Chunks = append(answer.Chunks, packed)
+	}
+	return answer, nil
+}
+
+// takeAnnounce accepts the offer of a head, and the duty to pass it on.
+func (l *Loop) takeAnnounce(_ context.Context, a messages.Announce) (messages.Empty, error) {
+	if l.run.Load() == nil {
+		return nil, errNotRunning
+	}
+	l.mu.Lock()
+	held := l.machine.Held()
+	due := l.tree.Asked(a.Hash, a.Forward)
+	l.mu.Unlock()
+	if a.Hash == held.Hash {
+		l.send(due, held, core.Head{})
+		return messages.Empty{}, nil
+	}
+	if raw, ok := core.Patch(held, a); ok {
+		l.spawn(func(context.Context) { l.step(core.HeadSeen{From: core.Source(a.From), Raw: raw}) })
+		return messages.Empty{}, nil
+	}
+	l.step(core.VersionHeard{From: core.Source(a.From), Number: a.Version})
+	return messages.Empty{}, nil
+}
+
+func (l *Loop) takeConfirm(_ context.Context, c messages.Confirm) (messages.Empty, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Report(confirm.Report{
+		ID: c.From, Sequence: c.Sequence, Number: c.Version, RejectedNumber: c.Rejected, Reasons: slices.Clone(c.Reasons),
+	})
+	return messages.Empty{}, nil
+}
--- /dev/null
+++ b/internal/follow/view.go
@@ -0,0 +1,129 @@
+package follow
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"lavenderdeal/core/fleet"
+	core "lavenderdeal/core/follow"
+	"lavenderdeal/core/relay"
+	"lavenderdeal/schema/messages"
+)
+
+const (
+	// maxNeighbours bounds the members of the own zone that are asked.
+	maxNeighbours = 8
+	// maxElsewhere bounds the readers of other zones that are asked.
+	maxElsewhere = 4
+)
+
+// lookAtView takes over a new view: who reads the platform, and who is asked for
+// what is missing.
+func (l *Loop) lookAtView() {
+	view := l.View.Load()
+	l.mu.Lock()
+	if view == nil || view.Self().Id == "" || (view == l.view && l.isSettled(view)) {
+		l.mu.Unlock()
+		return
+	}
+	l.view = view
+	self := view.Self()
+	l.readers = relay.Readers(view.Members(), self.Zone)
+	isReader := slices.Contains(l.readers, self.Id) && l.isSettled(view)
+	became := isReader && !l.isReader
+	lost := l.isReader && !isReader
+	l.isReader = isReader
+	if became {
+		l.readerAt = time.Now()
+		l.writer.Reset()
+	}
+	if lost {
+		l.platform = messages.HeldHeadPlatformUnknown
+	}
+	l.table.Keep(view.Members())
+	readers := l.readers
+	l.mu.Unlock()
+	if became {
+		l.Metrics.Add("becameReader", 1)
+		l.record("becameReader", self.Id, "readers of zone "+self.Zone+" are "+strings.Join(readers, " and "))
+	}
+	l.step(core.ViewChanged{Peers: neighbours(view, readers), AskPlatform: isReader})
+}
+
+// isSettled says whether the view may be believed: it has another node of the
+// zone, or there was time to find one. The caller holds mu.
+func (l *Loop) isSettled(view *fleet.View) bool {
+	return len(view.Zone(view.Self().Zone)) > 1 || time.Since(l.startAt) >= settleTime
+}
+
+// neighbours returns whom to ask, the best first: a reader and other nodes of
+// the own zone by turns, then readers of other zones, those of the own region
+// first.
+func neighbours(view *fleet.View, readers []string) []core.Source {
+	self := view.Self()
+	var own []string
+	for _, m := range view.Zone(self.Zone) {
+		if m.Id != self.Id && isAlive(m) && !slices.Contains(readers, m.Id) {
+			own = append(own, m.Id)
+		}
+	}
+	rand.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
+	var ids []string
+	for _, reader := range readers {
+		if reader == self.Id {
+			continue
+		}
+		ids = append(ids, reader)
+		if len(own) > 0 {
+			ids, own = append(ids, own[0]), own[1:]
+		}
+	}
+	ids = append(ids, own[:min(len(own), maxNeighbours)]...)
+	elsewhere := readersElsewhere(view)
+	ids = append(ids, elsewhere[:min(len(elsewhere), maxElsewhere)]...)
+	sources := make([]core.Source, len(ids))
+	for i, id := range ids {
+		sources[i] = core.Source(id)
+	}
+	return sources
+}
+
+// readersElsewhere returns the readers of other zones in random order, those of
+// the own region first.
+func readersElsewhere(view *fleet.View) []string {
+	self := view.Self()
+	byZone := make(map[string][]messages.Member)
+	for _, m := range view.Members() {
+		if m.Zone != self.Zone && isAlive(m) {
+			byZone[m.Zone] = append(byZone[m.Zone], m)
+		}
+	}
+	var near, far []string
+	for zone, members := range byZone {
+		readers := relay.Readers(members, zone)
+		if members[0].Region == self.Region {
+			near = append(near, readers...)
+		} else {
+			far = append(far, readers...)
+		}
+	}
+	for _, ids := range [][]string{near, far} {
+		rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	}
+	return append(near, far...)
+}
+
+func isAlive(m messages.Member) bool { return m.State != messages.MemberStateFailed }
+
+// address returns the peer address of a member.
+func (l *Loop) address(id string) (netip.AddrPort, bool) {
+	members := l.View.Load().Members()
+	i, found := slices.BinarySearchFunc(members, id, func(m messages.Member, id string) int { return strings.Compare(m.Id, id) })
+	if !found {
+		return netip.AddrPort{}, false
+	}
+	return members[i].Peer, true
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,7 +188,9 @@
 	status := operator.Status{
 		ID: self.Id, Zone: self.Zone, Region: self.Region, Service: self.Service,
 		State: string(self.State), Version: n.plans.Number(), Members: map[string]int{}, Release: Release,
+		Reader: n.follower.IsReader(),
 	}
+	status.VersionSource, _ = n.follower.Ready()
 	for _, m := range view.Members() {
 		status.Members[string(m.State)]++
 	}
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -40,7 +40,12 @@
 	Service string `json:"service"`
 	State   string `json:"state"`
 	// Version is the version of the plans in force, or 0.
-	Version uint64         `json:"version"`
+	Version uint64 `json:"version"`
+	// VersionSource says from where the node knew the oldest version that it may
+	// serve, or why it does not know yet.
+	VersionSource string `json:"versionSource"`
+	// Reader says whether the node reads the platform for its zone.
+	Reader  bool           `json:"reader"`
 	Members map[string]int `json:"membersByState"`
 	Release string         `json:"release"`
 }
--- a/schema/messages/messages.gen.go
+++ b/schema/messages/messages.gen.go
@@ -5,13 +5,42 @@
 import "net/netip"
 import "time"
 
-// A head that the sender has, as the platform keeps it.
+// A head whose chunks the sender has. With a base it carries what changed since
+// that head.
 type Announce struct {
+	// Author corresponds to the JSON schema field "author".
+	Author string `json:"author,omitempty,omitzero" yaml:"author,omitempty"`
+
+	// Hash of the head to which the edits apply. Empty when the head must be asked
+	// for.
+	Base string `json:"base,omitempty,omitzero" yaml:"base,omitempty"`
+
+	// As it stands in the head.
+	ChangedAt string `json:"changedAt,omitempty,omitzero" yaml:"changedAt,omitempty"`
+
+	// CustomerEdits corresponds to the JSON schema field "customerEdits".
+	CustomerEdits []Edit `json:"customerEdits,omitempty,omitzero" yaml:"customerEdits,omitempty"`
+
+	// Ids of the nodes to which the receiver passes this on.
+	Forward []string `json:"forward,omitempty,omitzero" yaml:"forward,omitempty"`
+
 	// From corresponds to the JSON schema field "from".
 	From string `json:"from" yaml:"from"`
 
-	// Head corresponds to the JSON schema field "head".
-	Head []byte `json:"head" yaml:"head"`
+	// SHA-256 of the head as the platform keeps it.
+	Hash string `json:"hash" yaml:"hash"`
+
+	// Operation corresponds to the JSON schema field "operation".
+	Operation string `json:"operation,omitempty,omitzero" yaml:"operation,omitempty"`
+
+	// PlanEdits corresponds to the JSON schema field "planEdits".
+	PlanEdits []Edit `json:"planEdits,omitempty,omitzero" yaml:"planEdits,omitempty"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason string `json:"reason,omitempty,omitzero" yaml:"reason,omitempty"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version uint64 `json:"version" yaml:"version"`
 }
 
 // What a node tells the next one about a call. It travels in a header.
@@ -47,9 +76,40 @@
 	Deadline time.Time `json:"deadline" yaml:"deadline"`
 }
 
+// Those of the chunks that the node has, as many as fit.
 type Chunks struct {
-	// Chunks corresponds to the JSON schema field "chunks".
+	// Compressed chunks.
 	Chunks [][]byte `json:"chunks" yaml:"chunks"`
+
+	// Above 0 when the node serves too many others now.
+	RetryAfterMillis int64 `json:"retryAfterMillis" yaml:"retryAfterMillis"`
+}
+
+// What a node has in force, told to the readers of its zone.
+type Confirm struct {
+	// From corresponds to the JSON schema field "from".
+	From string `json:"from" yaml:"from"`
+
+	// Reasons corresponds to the JSON schema field "reasons".
+	Reasons []string `json:"reasons" yaml:"reasons"`
+
+	// Newest version that was rejected, or 0.
+	Rejected uint64 `json:"rejected" yaml:"rejected"`
+
+	// Rises with each report of the node.
+	Sequence uint64 `json:"sequence" yaml:"sequence"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version uint64 `json:"version" yaml:"version"`
+}
+
+// Replaces one hash in a list of chunks.
+type Edit struct {
+	// Hash corresponds to the JSON schema field "hash".
+	Hash string `json:"hash" yaml:"hash"`
+
+	// Index corresponds to the JSON schema field "index".
+	Index int `json:"index" yaml:"index"`
 }
 
 type Empty map[string]interface{}
@@ -59,6 +119,19 @@
 	Hashes []string `json:"hashes" yaml:"hashes"`
 }
 
+// Asks for the head that the receiver holds.
+type GetHead struct {
+	// From corresponds to the JSON schema field "from".
+	From string `json:"from" yaml:"from"`
+
+	// Hash of the head that the sender holds. The head is left out of the answer when
+	// it is the same.
+	Hash string `json:"hash" yaml:"hash"`
+
+	// Version that the sender holds, or 0.
+	Version uint64 `json:"version" yaml:"version"`
+}
+
 // Members that the sender knows, with the version it has in force.
 type Gossip struct {
 	// From corresponds to the JSON schema field "from".
@@ -71,6 +144,31 @@
 	Version uint64 `json:"version" yaml:"version"`
 }
 
+// Head that a node holds, and what it knows of the platform.
+type HeldHead struct {
+	// Hash corresponds to the JSON schema field "hash".
+	Hash string `json:"hash" yaml:"hash"`
+
+	// Head as the platform keeps it, compressed. Empty when the asker has it or when
+	// it is not newer.
+	Head []byte `json:"head" yaml:"head"`
+
+	// What the node's own watch on the platform says; unknown when it does not watch.
+	Platform HeldHeadPlatform `json:"platform" yaml:"platform"`
+
+	// Whether the node knew the oldest version that it may serve.
+	Ready bool `json:"ready" yaml:"ready"`
+
+	// Version that the node holds, or 0.
+	Version uint64 `json:"version" yaml:"version"`
+}
+
+type HeldHeadPlatform string
+
+const HeldHeadPlatformFresh HeldHeadPlatform = "fresh"
+const HeldHeadPlatformLost HeldHeadPlatform = "lost"
+const HeldHeadPlatformUnknown HeldHeadPlatform = "unknown"
+
 // Proof of the shared key when a connection opens.
 type Hello struct {
 	// Nonce corresponds to the JSON schema field "nonce".
@@ -145,15 +243,24 @@
 	// Chunks corresponds to the JSON schema field "chunks".
 	Chunks *Chunks `json:"chunks,omitempty,omitzero" yaml:"chunks,omitempty"`
 
+	// Confirm corresponds to the JSON schema field "confirm".
+	Confirm *Confirm `json:"confirm,omitempty,omitzero" yaml:"confirm,omitempty"`
+
 	// Empty corresponds to the JSON schema field "empty".
 	Empty Empty `json:"empty,omitempty,omitzero" yaml:"empty,omitempty"`
 
 	// GetChunks corresponds to the JSON schema field "getChunks".
 	GetChunks *GetChunks `json:"getChunks,omitempty,omitzero" yaml:"getChunks,omitempty"`
 
+	// GetHead corresponds to the JSON schema field "getHead".
+	GetHead *GetHead `json:"getHead,omitempty,omitzero" yaml:"getHead,omitempty"`
+
 	// Gossip corresponds to the JSON schema field "gossip".
 	Gossip *Gossip `json:"gossip,omitempty,omitzero" yaml:"gossip,omitempty"`
 
+	// HeldHead corresponds to the JSON schema field "heldHead".
+	HeldHead *HeldHead `json:"heldHead,omitempty,omitzero" yaml:"heldHead,omitempty"`
+
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero" yaml:"hello,omitempty"`
 
