admission: floors, turns of customers, early deadlines, corrected slots

Cause: the thin queue served priorities strictly, let one customer fill it and refused nothing before the deadline.

Change: each priority keeps a floor of the slots' time (high 10%, normal 5%, bulk 5%). Within a priority, calls within their customer's usual rate go before the excess, and customers take turns in each. A full queue pushes out the least urgent priority above its reserved room, the excess first, the customer with the most calls first. A call that cannot end in time is refused when offered and again at its turn, never while a slot is free. core/slots corrects the declared slots by measured latency for each priority and by the server's own refusals.

--- /dev/null
+++ b/core/admission/flood_test.go
@@ -0,0 +1,375 @@
+package admission
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"lavenderdeal/core/priority"
+)
+
+const (
+	simSlots    = 18
+	simWork     = 10 * time.Millisecond
+	simDeadline = 200 * time.Millisecond
+	// simTightDeadline leaves little time to wait.
+	simTightDeadline = 40 * time.Millisecond
+	simQuiet         = 20 * time.Second
+	simFlood         = 20 * time.Second
+)
+
+var simStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// source sends calls of one customer and priority.
+type source struct {
+	name      string
+	customers int
+	priority  priority.Priority
+	// quiet and flood are shares of the server's capacity, for all customers of
+	// the source together.
+	quiet, flood float64
+}
+
+type simEvent struct {
+	at     time.Time
+	source int
+	// id is the call that ends, or 0 for an arrival.
+	id uint64
+}
+
+type simEvents []simEvent
+
+func (h simEvents) Len() int           { return len(h) }
+func (h simEvents) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h simEvents) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *simEvents) Push(x any)        { *h = append(*h, x.(simEvent)) }
+func (h *simEvents) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// policy is what the simulation drives: the queue, or one with a mechanism off.
+type policy interface {
+	offer(now time.Time, c Call) Outcome
+	done(now time.Time, id uint64)
+	decisions() []Decision
+}
+
+// tally is what became of the calls of a source in one phase.
+type tally struct {
+	sent, kept int
+	took       []time.Duration
+}
+
+func (t tally) share() float64 { return float64(t.kept) / float64(max(t.sent, 1)) }
+
+func (t tally) p99() time.Duration {
+	if len(t.took) == 0 {
+		return 0
+	}
+	slices.Sort(t.took)
+	return t.took[len(t.took)*99/100]
+}
+
+type result struct {
+	quiet, flood []tally
+	// used is the share of the slots' time in use during the flood, and useful
+	// the part of it that answered calls in time.
+	used, useful float64
+	// busy is the share of the slots' time for each source, in time or not.
+	busy []float64
+}
+
+type simCall struct {
+	source  int
+	arrived time.Time
+	work    time.Duration
+}
+
+// simulate runs the sources against one server with simSlots slots.
+func simulate(p policy, exponential bool, deadline time.Duration, sources []source) result {
+	r := rand.New(rand.NewPCG(1, 2))
+	capacity := float64(simSlots) / simWork.Seconds()
+	end := simStart.Add(simQuiet + simFlood)
+	floodAt := simStart.Add(simQuiet)
+	res := result{quiet: make([]tally, len(sources)), flood: make([]tally, len(sources)), busy: make([]float64, len(sources))}
+	calls := map[uint64]simCall{}
+	var events simEvents
+	arrive := func(now time.Time, i int) {
+		rate := sources[i].quiet
+		if !now.Before(floodAt) {
+			rate = sources[i].flood
+		}
+		gap := simQuiet
+		if rate > 0 {
+			gap = time.Duration(r.ExpFloat64() / (rate * capacity) * float64(time.Second))
+		}
+		at := now.Add(gap)
+		if now.Before(floodAt) && !at.Before(floodAt) {
+			at = floodAt
+		}
+		heap.Push(&events, simEvent{at: at, source: i})
+	}
+	for i := range sources {
+		arrive(simStart, i)
+	}
+	var busy, useful time.Duration
+	// The server runs simSlots calls at once; more of them wait inside it.
+	running := 0
+	var inside []uint64
+	start := func(now time.Time, id uint64) {
+		if running == simSlots {
+			inside = append(inside, id)
+			return
+		}
+		running++
+		heap.Push(&events, simEvent{at: now.Add(calls[id].work), source: calls[id].source, id: id})
+	}
+	id := uint64(0)
+	for len(events) > 0 && events[0].at.Before(end) {
+		e := heap.Pop(&events).(simEvent)
+		now := e.at
+		if e.id == 0 {
+			id++
+			s := sources[e.source]
+			work := simWork
+			if exponential {
+				work = time.Duration(r.ExpFloat64() * float64(simWork))
+			}
+			calls[id] = simCall{source: e.source, arrived: now, work: work}
+			phase := res.phase(now, floodAt)
+			phase[e.source].sent++
+			customer := fmt.Sprint(s.name, r.IntN(max(s.customers, 1)))
+			call := Call{ID: id, Customer: customer, Priority: s.priority, Deadline: now.Add(deadline)}
+			switch p.offer(now, call).(type) {
+			case Started:
+				start(now, id)
+			case Refused:
+				delete(calls, id)
+			}
+			arrive(now, e.source)
+		} else {
+			c := calls[e.id]
+			delete(calls, e.id)
+			running--
+			if len(inside) > 0 {
+				start(now, inside[0])
+				inside = inside[1:]
+			}
+			took := now.Sub(c.arrived)
+			if took <= deadline {
+				phase := res.phase(c.arrived, floodAt)
+				phase[c.source].kept++
+				phase[c.source].took = append(phase[c.source].took, took)
+			}
+			if !c.arrived.Before(floodAt) {
+				busy += c.work
+				res.busy[c.source] += c.work.Seconds() / (simFlood.Seconds() * simSlots)
+				if took <= deadline {
+					useful += c.work
+				}
+			}
+			p.done(now, e.id)
+		}
+		for _, d := range p.decisions() {
+			if _, ok := d.Outcome.(Started); ok {
+				start(now, d.ID)
+			} else {
+				delete(calls, d.ID)
+			}
+		}
+	}
+	res.used = busy.Seconds() / (simFlood.Seconds() * simSlots)
+	res.useful = useful.Seconds() / (simFlood.Seconds() * simSlots)
+	return res
+}
+
+func (r *result) phase(at, floodAt time.Time) []tally {
+	if at.Before(floodAt) {
+		return r.quiet
+	}
+	return r.flood
+}
+
+// queuePolicy drives the queue, with one mechanism off when a field says so.
+type queuePolicy struct {
+	*Queue
+	noPriority, noFairness, noFloor, noDeadline, noUsual bool
+}
+
+func (p *queuePolicy) offer(now time.Time, c Call) Outcome {
+	if p.noPriority {
+		c.Priority = priority.Normal
+	}
+	if p.noFairness {
+		c.Customer = "all"
+	}
+	if p.noDeadline {
+		c.Deadline = c.Deadline.Add(time.Hour)
+	}
+	if p.noUsual {
+		p.usage = usage{}
+	}
+	p.loseFloor()
+	return p.Offer(now, c)
+}
+
+func (p *queuePolicy) done(now time.Time, id uint64) {
+	p.loseFloor()
+	p.Done(now, id)
+}
+
+func (p *queuePolicy) loseFloor() {
+	for i := range p.classes {
+		if p.noFloor {
+			p.classes[i].credit = -time.Hour
+		}
+	}
+}
+
+func (p *queuePolicy) decisions() []Decision { return p.Decisions() }
+
+// firstCome is the baseline: first come, first served, with the same bound on
+// waiting calls.
+type firstCome struct {
+	running int
+	line    []uint64
+	decided []Decision
+}
+
+func (p *firstCome) offer(_ time.Time, c Call) Outcome {
+	if p.running < simSlots {
+		p.running++
+		return Started{}
+	}
+	if len(p.line) >= simSlots*queuedPerSlot {
+		return Refused{Rule: RuleQueueFull}
+	}
+	p.line = append(p.line, c.ID)
+	return Queued{}
+}
+
+func (p *firstCome) done(time.Time, uint64) {
+	p.running--
+	if len(p.line) > 0 {
+		p.running++
+		p.decided = append(p.decided, Decision{ID: p.line[0], Outcome: Started{}})
+		p.line = p.line[1:]
+	}
+}
+
+func (p *firstCome) decisions() []Decision {
+	decided := p.decided
+	p.decided = nil
+	return decided
+}
+
+// ordinary is the load of a quiet time: 60% of capacity.
+func ordinary() []source {
+	return []source{
+		{name: "crews", customers: 8, priority: priority.Urgent, quiet: 0.2, flood: 0.2},
+		{name: "clerks", customers: 4, priority: priority.High, quiet: 0.2, flood: 0.2},
+		{name: "offices", customers: 4, priority: priority.Normal, quiet: 0.1, flood: 0.1},
+		{name: "photos", customers: 4, priority: priority.Bulk, quiet: 0.1, flood: 0.1},
+	}
+}
+
+func withFlood(p priority.Priority, customers int) []source {
+	return append(ordinary(), source{name: "flood", customers: customers, priority: p, quiet: 0.02, flood: 5})
+}
+
+func eachFlood(t *testing.T, p priority.Priority, check func(*testing.T, []source, result)) {
+	for _, customers := range []int{1, 100} {
+		for _, exponential := range []bool{false, true} {
+			t.Run(fmt.Sprintf("customers=%d,exponential=%v", customers, exponential), func(t *testing.T) {
+				sources := withFlood(p, customers)
+				res := simulate(&queuePolicy{Queue: New(simSlots)}, exponential, simDeadline, sources)
+				for i, s := range sources {
+					t.Logf("%-8s %-7s kept %.4f of %d, p99 quiet %s flood %s, busy %.4f", s.name, s.priority,
+						res.flood[i].share(), res.flood[i].sent, res.quiet[i].p99(), res.flood[i].p99(), res.busy[i])
+				}
+				t.Logf("capacity used %.4f, useful %.4f", res.used, res.useful)
+				if res.used < 0.95 {
+					t.Errorf("capacity used %.4f, want 0.95", res.used)
+				}
+				check(t, sources, res)
+			})
+		}
+	}
+}
+
+func TestFloodOfLeastUrgent(t *testing.T) {
+	eachFlood(t, priority.Bulk, func(t *testing.T, _ []source, res result) {
+		if got := res.flood[0].share(); got < 0.99 {
+			t.Errorf("the most urgent keep %.4f, want 0.99", got)
+		}
+		if quiet, flood := res.quiet[0].p99(), res.flood[0].p99(); flood > 2*quiet {
+			t.Errorf("p99 of the most urgent is %s, want at most twice %s", flood, quiet)
+		}
+	})
+}
+
+func TestFloodOfMostUrgent(t *testing.T) {
+	eachFlood(t, priority.Urgent, func(t *testing.T, sources []source, res result) {
+		if got := res.flood[0].share(); got < 0.90 {
+			t.Errorf("customers outside the flood keep %.4f, want 0.90", got)
+		}
+		for i, s := range sources[1:4] {
+			// A floor holds for the calls that come, less what chance adds.
+			floor := min(s.priority.Floor(), s.flood) * 0.95
+			if res.busy[i+1] < floor {
+				t.Errorf("%s has %.4f of the slots, want %.4f", s.priority, res.busy[i+1], floor)
+			}
+		}
+	})
+}
+
+// BenchmarkEarnings prints what each mechanism earns, by switching it off alone:
+// the share of calls kept by each priority outside the flood, the p99 of the
+// most urgent and the share of the slots' time that answered calls in time.
+//
+//	go test ./core/admission -run '^$' -bench Earnings -benchtime 1x -v
+func BenchmarkEarnings(b *testing.B) {
+	for b.Loop() {
+		for _, f := range []earningsFlood{
+			{"bulk, 1 customer", priority.Bulk, 1},
+			{"urgent, 1 customer", priority.Urgent, 1},
+			{"urgent, 100 customers", priority.Urgent, 100},
+		} {
+			for _, deadline := range []time.Duration{simDeadline, simTightDeadline} {
+				printEarnings(b, f, deadline)
+			}
+		}
+	}
+}
+
+type earningsFlood struct {
+	name      string
+	priority  priority.Priority
+	customers int
+}
+
+func printEarnings(b *testing.B, f earningsFlood, deadline time.Duration) {
+	policies := []struct {
+		name   string
+		policy policy
+	}{
+		{"all on", &queuePolicy{Queue: New(simSlots)}},
+		{"no priorities", &queuePolicy{Queue: New(simSlots), noPriority: true}},
+		{"no floors", &queuePolicy{Queue: New(simSlots), noFloor: true}},
+		{"no turns of customers", &queuePolicy{Queue: New(simSlots), noFairness: true}},
+		{"no usual rates", &queuePolicy{Queue: New(simSlots), noUsual: true}},
+		{"no deadlines", &queuePolicy{Queue: New(simSlots), noDeadline: true}},
+		{"first come, first served", &firstCome{}},
+	}
+	for _, p := range policies {
+		res := simulate(p.policy, true, deadline, withFlood(f.priority, f.customers))
+		b.Logf("| %s | %s | %s | %.3f | %s | %.3f | %.3f | %.3f | %.3f | %.3f |", f.name, deadline, p.name,
+			res.flood[0].share(), res.flood[0].p99().Round(100*time.Microsecond),
+			res.flood[1].share(), res.flood[2].share(), res.flood[3].share(), res.used, res.useful)
+	}
+}
--- /dev/null
+++ b/core/admission/usage.go
@@ -0,0 +1,91 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"lavenderdeal/core/priority"
+)
+
+const (
+	// usageMemory is the time over which the usual rate of a customer is
+	// averaged, and usageStart the least time that an average stands for.
+	usageMemory = 5 * time.Minute
+	usageStart  = 10 * time.Second
+	// overloadWeight is the weight in the usual rate of a call that comes during
+	// an overload, so that a flood does not soon count as usual.
+	overloadWeight = 0.02
+	// usualMargin is how far a customer may exceed its usual rate.
+	usualMargin = 1.5
+	// leastRate is the rate in calls per second that each customer has at least.
+	leastRate = 1
+	// usualBurst is how many seconds of the rate may come at once.
+	usualBurst   = 1
+	maxCustomers = 4096
+)
+
+// usage knows the usual rate of each customer and priority.
+type usage struct {
+	started      time.Time
+	newer, older map[customerKey]*customerUsage
+}
+
+type customerKey struct {
+	customer string
+	priority priority.Priority
+}
+
+type customerUsage struct {
+	// calls fades with usageMemory.
+	calls  float64
+	tokens float64
+	at     time.Time
+}
+
+// offer counts a call and says whether it is within the usual rate.
+func (u *usage) offer(now time.Time, customer string, p priority.Priority, overload bool) band {
+	if u.started.IsZero() {
+		u.started = now
+	}
+	c := u.get(now, customerKey{customer: customer, priority: p})
+	passed := now.Sub(c.at).Seconds()
+	c.at = now
+	c.calls *= math.Exp(-passed / usageMemory.Seconds())
+	rate := usualMargin*c.calls/u.span(now) + leastRate
+	c.tokens = min(c.tokens+rate*passed, rate*usualBurst)
+	weight := 1.0
+	if overload {
+		weight = overloadWeight
+	}
+	c.calls += weight
+	if c.tokens < 1 {
+		return excess
+	}
+	c.tokens--
+	return usual
+}
+
+// span is the time in seconds that a faded count stands for.
+func (u *usage) span(now time.Time) float64 {
+	age := max(now.Sub(u.started), usageStart).Seconds()
+	memory := usageMemory.Seconds()
+	return memory * (1 - math.Exp(-age/memory))
+}
+
+// get returns the entry of a customer. The table has two halves: when the newer
+// one is full it becomes the older one, whose entries are forgotten unless they
+// were used since.
+func (u *usage) get(now time.Time, key customerKey) *customerUsage {
+	if c := u.newer[key]; c != nil {
+		return c
+	}
+	c := u.older[key]
+	if c == nil {
+		c = &customerUsage{at: now, tokens: leastRate}
+	}
+	if u.newer == nil || len(u.newer) >= maxCustomers/2 {
+		u.older, u.newer = u.newer, make(map[customerKey]*customerUsage)
+	}
+	u.newer[key] = c
+	return c
+}
--- /dev/null
+++ b/core/slots/slots.go
@@ -0,0 +1,166 @@
+// Package slots corrects the declared number of slots of a backend server by the
+// latency that its calls show.
+//
+// # Estimate
+//
+// An [Estimate] starts at the declared number. Observe is told the time that
+// each call took and whether the slots were all in use. The mean of a window is
+// compared with the lowest mean of the last minutes, for each priority by
+// itself, so that a change of the mix is not taken for an overload:
+//
+//	e := slots.New(18)
+//	e.Observe(now, priority.Urgent, 12*time.Millisecond, true)
+//	limit := e.Limit()
+//
+// A server that takes calls at its usual latency while all slots are in use is
+// given more, up to twice the declared number. One whose latency grows, or which
+// refuses calls itself, is given fewer, down to a quarter: an estimate that is
+// wrong must not take a server out of service.
+package slots
+
+import (
+	"time"
+
+	"lavenderdeal/core/priority"
+)
+
+const (
+	// windowCalls and windowTime are what a window needs at least.
+	windowCalls = 200
+	windowTime  = 1 * time.Second
+	// baselineAge is how long a baseline is believed.
+	baselineAge     = 30 * time.Second
+	baselineBuckets = 10
+
+	highestFactor  = 2
+	lowestDivisor  = 4
+	growthDivisor  = 16
+	shrinkDivisor  = 8
+	growBelow      = 1.10
+	returnBelow    = 1.30
+	shrinkAbove    = 1.20
+	shrinkDeclared = 1.60
+	// saturatedShare is the share of calls of a window that found all slots in
+	// use, from which on the limit may grow.
+	saturatedShare = 0.5
+)
+
+// Estimate is the number of calls that a backend server may run at once. The
+// caller serializes all calls.
+type Estimate struct {
+	declared int
+	limit    int
+	windows  [priority.Count]window
+
+	started   time.Time
+	calls     int
+	saturated int
+	shed      bool
+}
+
+// window holds one priority's part of the running window and its baseline.
+type window struct {
+	sum   time.Duration
+	calls int
+	// lowest has the lowest mean of each of the last buckets.
+	lowest      [baselineBuckets]time.Duration
+	bucket      int
+	bucketSince time.Time
+}
+
+// New returns an estimate that starts at the declared number of slots.
+func New(declared int) *Estimate {
+	declared = max(declared, 1)
+	return &Estimate{declared: declared, limit: declared}
+}
+
+// Limit returns the number of calls that may run at once.
+func (e *Estimate) Limit() int { return e.limit }
+
+// Observe adds a call that ended. It says whether the limit changed.
+func (e *Estimate) Observe(now time.Time, p priority.Priority, took time.Duration, saturated bool) bool {
+	if e.started.IsZero() {
+		e.started = now
+	}
+	w := &e.windows[p]
+	w.sum += took
+	w.calls++
+	e.calls++
+	if saturated {
+		e.saturated++
+	}
+	if e.calls < windowCalls || now.Sub(e.started) < windowTime {
+		return false
+	}
+	return e.endWindow(now)
+}
+
+// Shed notes that the backend server refused a call itself, for want of room.
+func (e *Estimate) Shed() { e.shed = true }
+
+func (e *Estimate) endWindow(now time.Time) bool {
+	before := e.limit
+	ratio := e.ratio(now)
+	switch {
+	case e.shed, ratio > e.shrinkThreshold():
+		e.limit -= max(e.limit/shrinkDivisor, 1)
+	case ratio < e.growThreshold() && float64(e.saturated) >= saturatedShare*float64(e.calls):
+		e.limit += max(e.limit/growthDivisor, 1)
+	}
+	e.limit = min(max(e.limit, e.declared/lowestDivisor, 1), e.declared*highestFactor)
+	e.started, e.calls, e.saturated, e.shed = now, 0, 0, false
+	return e.limit != before
+}
+
+func (e *Estimate) shrinkThreshold() float64 {
+	if e.limit > e.declared {
+		return shrinkAbove
+	}
+	return shrinkDeclared
+}
+
+func (e *Estimate) growThreshold() float64 {
+	if e.limit < e.declared {
+		return returnBelow
+	}
+	return growBelow
+}
+
+// ratio returns the latency of the window against the baselines, weighed by the
+// calls of each priority.
+func (e *Estimate) ratio(now time.Time) float64 {
+	sum := 0.0
+	for p := range e.windows {
+		w := &e.windows[p]
+		if w.calls == 0 {
+			continue
+		}
+		mean := w.sum / time.Duration(w.calls)
+		sum += float64(w.calls) * w.against(now, max(mean, 1), w.calls >= windowCalls/int(priority.Count))
+		w.sum, w.calls = 0, 0
+	}
+	return sum / float64(e.calls)
+}
+
+// against returns the mean divided by the baseline, and keeps the mean as a
+// baseline when it stands for enough calls.
+func (w *window) against(now time.Time, mean time.Duration, enough bool) float64 {
+	if w.bucketSince.IsZero() {
+		w.bucketSince = now
+	}
+	if now.Sub(w.bucketSince) >= baselineAge {
+		w.bucket = (w.bucket + 1) % baselineBuckets
+		w.lowest[w.bucket] = 0
+		w.bucketSince = now
+	}
+	if lowest := w.lowest[w.bucket]; enough && (lowest == 0 || mean < lowest) {
+		w.lowest[w.bucket] = mean
+	}
+	baseline := mean
+	for _, lowest := range w.lowest {
+		if lowest > 0 {
+			baseline = min(baseline, lowest)
+		}
+	}
+	return float64(mean) / float64(baseline)
+}
--- /dev/null
+++ b/core/slots/slots_test.go
@@ -0,0 +1,79 @@
+package slots
+
+import (
+	"testing"
+	"time"
+
+	"lavenderdeal/core/priority"
+)
+
+// server takes work at its usual latency up to its true number of slots.
+type server struct {
+	slots int
+	work  time.Duration
+}
+
+func (s server) latency(running int) time.Duration {
+	return s.work * time.Duration(max(running, s.slots)) / time.Duration(s.slots)
+}
+
+// run drives the estimate with n calls of a priority at a number of calls at
+// once, or at the limit when it is 0.
+func run(e *Estimate, now time.Time, s server, p priority.Priority, atOnce, n int) time.Time {
+	for range n {
+		running := atOnce
+		if running == 0 {
+			running = e.Limit()
+		}
+		took := s.latency(running)
+		now = now.Add(took / time.Duration(running))
+		e.Observe(now, p, took, running >= e.Limit())
+	}
+	return now
+}
+
+func TestLimit(t *testing.T) {
+	const declared = 18
+	begin := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	work := 10 * time.Millisecond
+	limitAfter := func(s server) int {
+		e := New(declared)
+		now := run(e, begin, s, priority.Urgent, 2, 2_000)
+		run(e, now, s, priority.Urgent, 0, 100_000)
+		return e.Limit()
+	}
+	t.Run("true slots as declared", func(t *testing.T) {
+		if got := limitAfter(server{slots: declared, work: work}); got < declared || got > declared*5/4 {
+			t.Errorf("limit %d, want %d to %d", got, declared, declared*5/4)
+		}
+	})
+	t.Run("true slots twice as many", func(t *testing.T) {
+		if got := limitAfter(server{slots: 2 * declared, work: work}); got < 2*declared*95/100 {
+			t.Errorf("limit %d, want %d", got, 2*declared)
+		}
+	})
+	t.Run("true slots half as many", func(t *testing.T) {
+		if got := limitAfter(server{slots: declared / 2, work: work}); got < declared/2 || got > declared*9/10 {
+			t.Errorf("limit %d, want %d to %d", got, declared/2, declared*9/10)
+		}
+	})
+	t.Run("another mix is no overload", func(t *testing.T) {
+		e := New(declared)
+		now := run(e, begin, server{slots: declared, work: work}, priority.Urgent, 2, 2_000)
+		run(e, now, server{slots: declared, work: 20 * work}, priority.Bulk, 0, 20_000)
+		if e.Limit() < declared {
+			t.Errorf("limit %d, want %d", e.Limit(), declared)
+		}
+	})
+	t.Run("refusals by the server itself", func(t *testing.T) {
+		e := New(declared)
+		now := begin
+		for range 500 {
+			e.Shed()
+			now = run(e, now, server{slots: declared, work: work}, priority.Urgent, 0, 100)
+		}
+		if got := e.Limit(); got != declared/lowestDivisor {
+			t.Errorf("limit %d, want the lowest, %d", got, declared/lowestDivisor)
+		}
+	})
+}
--- a/internal/calls/admit.go
+++ b/internal/calls/admit.go
@@ -10,50 +10,71 @@
 	"lavenderdeal/schema/messages"
 )
 
-// admit waits until the call has a slot.
-func (r *Runner) admit(ctx context.Context, call messages.Call) error {
+// admit waits until the call has a slot. It returns the id under which the slot
+// is freed.
+func (r *Runner) admit(ctx context.Context, call messages.Call) (uint64, error) {
 	deadline, _ := ctx.Deadline()
 	r.mu.Lock()
 	r.lastID++
 	c := admission.Call{ID: r.lastID, Customer: call.Customer, Priority: priority.Priority(call.Priority), Deadline: deadline}
 	outcome := r.queue.Offer(time.Now(), c)
-	started := make(chan struct{})
+	var decided chan admission.Outcome
 	if _, ok := outcome.(admission.Queued); ok {
-		r.waiting[c.ID] = started
+		decided = make(chan admission.Outcome, 1)
+		r.waiting[c.ID] = decided
 	}
+	r.tellDecisions()
 	r.mu.Unlock()
-	switch o := outcome.(type) {
-	case admission.Refused:
-		return verdict.RefuseFor(o.Rule, "the queue of this backend server refused the call", o.RetryAfter)
-	case admission.Started:
-		return nil
+	if decided == nil {
+		return c.ID, refusalOf(outcome)
 	}
 	select {
-	case <-started:
-		return nil
+	case outcome = <-decided:
+		return c.ID, refusalOf(outcome)
 	case <-ctx.Done():
 	}
+	return c.ID, r.cancel(c.ID, decided)
+}
+
+// cancel takes a call out of the queue, or frees the slot that it got at the
+// same moment.
+func (r *Runner) cancel(id uint64, decided chan admission.Outcome) error {
 	r.mu.Lock()
-	delete(r.waiting, c.ID)
-	cancelled := r.queue.Cancel(c.ID, c.Priority)
+	delete(r.waiting, id)
+	cancelled := r.queue.Cancel(id)
 	r.mu.Unlock()
 	if !cancelled {
-		// The slot came at the same moment.
-		r.done()
+		outcome := <-decided
+		if err := refusalOf(outcome); err != nil {
+			return err
+		}
+		r.done(id)
 	}
-	return verdict.Refuse("deadlinePassed", "the call waited in the queue until its deadline")
+	return verdict.Refuse(admission.RuleDeadlinePassed, "the call waited in the queue until its deadline")
 }
 
 // done frees the slot of a call and starts the next one.
-func (r *Runner) done() {
+func (r *Runner) done(id uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next, ok := r.queue.Done()
-	if !ok {
-		return
+	r.queue.Done(time.Now(), id)
+	r.tellDecisions()
+}
+
+// tellDecisions wakes the calls that the queue has decided on. The caller holds
+// mu.
+func (r *Runner) tellDecisions() {
+	for _, d := range r.queue.Decisions() {
+		if decided, ok := r.waiting[d.ID]; ok {
+			delete(r.waiting, d.ID)
+			decided <- d.Outcome
+		}
 	}
-	if started, ok := r.waiting[next.ID]; ok {
-		delete(r.waiting, next.ID)
-		close(started)
+}
+
+func refusalOf(outcome admission.Outcome) error {
+	if o, ok := outcome.(admission.Refused); ok {
+		return verdict.RefuseFor(o.Rule, "the queue of this backend server refused the call", o.RetryAfter)
 	}
+	return nil
 }
--- a/internal/calls/runner.go
+++ b/internal/calls/runner.go
@@ -31,7 +31,7 @@
 	mu      sync.Mutex
 	queue   *admission.Queue
 	lastID  uint64
-	waiting map[uint64]chan struct{}
+	waiting map[uint64]chan admission.Outcome
 }
 
 // NewRunner returns a runner for a backend server with a number of slots.
@@ -42,7 +42,7 @@
 		key:     key,
 		metrics: m,
 		queue:   admission.New(slots),
-		waiting: make(map[uint64]chan struct{}),
+		waiting: make(map[uint64]chan admission.Outcome),
 	}
 }
 
@@ -85,18 +85,19 @@
 	if refused, ok := decision.(plans.Refused); ok {
 		return nil, verdict.Refuse(refused.Rule, refused.Detail)
 	}
-	if err := r.admit(ctx, call); err != nil {
+	slot, err := r.admit(ctx, call)
+	if err != nil {
 		return nil, err
 	}
 	deadline, _ := ctx.Deadline()
 	chain := sealChain(r.key, messages.Chain{Call: call, Deadline: deadline})
 	answer, err := r.server.Do(ctx, request, body, chain)
 	if err != nil {
-		r.done()
+		r.done(slot)
 		return nil, err
 	}
 	r.metrics.Add("callsRun", 1)
-	answer.Body = &slotBody{ReadCloser: answer.Body, free: sync.OnceFunc(r.done)}
+	answer.Body = &slotBody{ReadCloser: answer.Body, free: sync.OnceFunc(func() { r.done(slot) })}
 	return answer, nil
 }
 
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -172,6 +172,8 @@
 	"methodForbidden":       http.StatusForbidden,
 	"pathForbidden":         http.StatusForbidden,
 	"rateLimit":             http.StatusTooManyRequests,
+	"concurrencyLimit":      http.StatusTooManyRequests,
 	"queueFull":             http.StatusServiceUnavailable,
 	"deadlinePassed":        http.StatusGatewayTimeout,
+	"deadlineUnreachable":   http.StatusGatewayTimeout,
 }
