--- /dev/null
+++ b/internal/standin/backend/process.go
@@ -0,0 +1,114 @@
+package backend
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lavenderdeal/internal/httpserver"
+)
+
+const restartRetry = 20 * time.Millisecond
+
+// Process runs a [Server] on an address and plays its crashes: all connections
+// break and new ones are refused until the process has started again. Lock
+// order: mu is the only lock.
+type Process struct {
+	server *Server
+	down   time.Duration
+	group  errgroup.Group
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	http    *httpserver.Server
+	addr    netip.AddrPort
+	crashes int
+}
+
+// StartProcess starts a server on an address. After a crash it is down for the
+// given time. Port 0 takes any free port, which is kept over crashes.
+func StartProcess(addr netip.AddrPort, server *Server, down time.Duration) (*Process, error) {
+	s, err := httpserver.Start(addr, server)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Process{server: server, down: down, cancel: cancel, http: s, addr: s.Addr()}
+	p.group.Go(func() error { p.watch(ctx); return nil })
+	return p, nil
+}
+
+// Addr returns the address of the server.
+func (p *Process) Addr() netip.AddrPort { return p.addr }
+
+// Crashes returns how often the server has crashed.
+func (p *Process) Crashes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crashes
+}
+
+// Crash ends the server as a crash would.
+func (p *Process) Crash() {
+	select {
+	case p.server.crashed <- struct{}{}:
+	default:
+	}
+}
+
+// Close ends the process.
+func (p *Process) Close() error {
+	p.cancel()
+	_ = p.group.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.http.Close()
+}
+
+func (p *Process) watch(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.server.crashed:
+		}
+		p.mu.Lock()
+		p.crashes++
+		_ = p.http.Close()
+		p.mu.Unlock()
+		if !pause(ctx, p.down) || !p.restart(ctx) {
+			return
+		}
+	}
+}
+
+func (p *Process) restart(ctx context.Context) bool {
+	for {
+		s, err := httpserver.Start(p.addr, p.server)
+		if err == nil {
+			p.server.Restart()
+			p.mu.Lock()
+			p.http = s
+			p.mu.Unlock()
+			return true
+		}
+		if !pause(ctx, restartRetry) {
+			return false
+		}
+	}
+}
+
+// pause returns false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
