trial: give instances lasting addresses and seeds

Cause: a zone that starts with the platform out had no way to find a peer, since every node listened on a port of its own and the settings named no peers; 80 of 80 nodes were not ready after 60 s. Instances now keep their ports, and the settings name two instances of each zone. After: the zone is ready in 0.4 s with the platform out (trial at half size, busy machine).

--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -35,9 +36,27 @@
 	platformTimeout = 2 * time.Second
 	drainAnnounce   = 3 * time.Second
 	drainFinish     = 60 * time.Second
+	seedsPerZone    = 2
 	peerKey         = "trial-peer-key-0123456789"
 )
 
+// Ports of an instance, counted from the first port of its fleet. An instance
+// keeps them when its node is started again.
+const (
+	callerPort = iota
+	callPort
+	peerPort
+	operatorPort
+	serverPort
+	portsPerInstance
+)
+
+// The first ports lie below those that the system hands out.
+const (
+	lowestPort  = 10000
+	highestPort = 30000
+)
+
 // Shape is what a fleet consists of.
 type Shape struct {
 	Name      string
@@ -70,8 +89,9 @@
 	Publisher publish.Store
 	Instances []*Instance
 
-	platform *httpserver.Server
-	shared   *backendServer
+	platform  *httpserver.Server
+	firstPort uint16
+	shared    *backendServer
 
 	// mu guards the list of instances and which of them run.
 	mu sync.Mutex
@@ -98,6 +118,7 @@
 // instances. The nodes are not ready yet when it returns.
 func Start(ctx context.Context, shape Shape) (*Fleet, error) {
 	f := &Fleet{Shape: shape, Store: objectapi.New(), Network: &cuts.Network{}}
+	f.firstPort = uint16(lowestPort + portsPerInstance*rand.IntN((highestPort-lowestPort)/portsPerInstance))
 	listener, err := httpserver.Start(cuts.Addr(cuts.Platform, 0), f.Store)
 	if err != nil {
 		return nil, err
@@ -135,18 +156,21 @@
 }
 
 func (f *Fleet) add(zone, number int, z Zone, service Service) (*Instance, error) {
-	addr := cuts.Addr(zone, number)
+	addr := cuts.Addr(zone, number).Addr()
 	i := &Instance{Zone: zone}
 	name := fmt.Sprintf("%s-%s-%d", z.Name, service.Name, number)
-	server, listener, err := f.backend(name, service, addr)
+	server, listener, err := f.backend(name, service, f.at(addr, serverPort))
 	if err != nil {
 		return nil, err
 	}
 	i.Server, i.listener = server, listener
 	i.Config = settings.Settings{
 		Zone: z.Name, Region: z.Region, Service: service.Name,
-		Server:   settings.Server{Address: listener.Addr(), Slots: service.Slots, Connections: service.Connections, HealthPath: "/health"},
-		Listen:   settings.Listen{Caller: addr, Peer: addr, Call: addr, Operator: addr},
+		Server: settings.Server{Address: listener.Addr(), Slots: service.Slots, Connections: service.Connections, HealthPath: "/health"},
+		Listen: settings.Listen{
+			Caller: f.at(addr, callerPort), Peer: f.at(addr, peerPort), Call: f.at(addr, callPort), Operator: f.at(addr, operatorPort),
+		},
+		Peers:    f.seeds(zone),
 		Platform: settings.Platform{Address: f.platform.Addr(), Timeout: units.Duration(platformTimeout)},
 		PeerKey:  peerKey,
 		Drain:    settings.Drain{Announce: units.Duration(drainAnnounce), Finish: units.Duration(drainFinish)},
@@ -154,6 +178,24 @@
 	return i, f.StartNode(i)
 }
 
+// at returns an address with one of the ports that all instances share.
+func (f *Fleet) at(addr netip.Addr, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(addr, f.firstPort+port)
+}
+
+// seeds returns the peer addresses of the first instances of every zone, the
+// own zone first.
+func (f *Fleet) seeds(own int) []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for z := range f.Shape.Zones {
+		zone := (own-1+z)%len(f.Shape.Zones) + 1
+		for n := range seedsPerZone {
+			seeds = append(seeds, f.at(cuts.Addr(zone, n).Addr(), peerPort))
+		}
+	}
+	return seeds
+}
+
 func (f *Fleet) backend(name string, service Service, addr netip.AddrPort) (*backend.Server, *httpserver.Server, error) {
 	if f.shared != nil {
 		return f.shared.server, f.shared.listener, nil
