--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -80,8 +80,8 @@
 type Report struct {
 	Classes map[string]*ClassReport
 	Calls   []Call
-	// Elapsed is the time from the first call due to the last answer.
-	Elapsed time.Duration
+	// Duration is the time in which calls were due.
+	Duration time.Duration
 }
 
 // ClassReport is what came back for one class.
@@ -117,7 +117,7 @@
 		client = httpclient.New("load")
 		defer client.Close()
 	}
-	report := &Report{Classes: make(map[string]*ClassReport, len(plan.Classes))}
+	report := &Report{Duration: plan.Duration, Classes: make(map[string]*ClassReport, len(plan.Classes))}
 	var mu sync.Mutex
 	start := time.Now()
 	limit := make(chan struct{}, maxOutstanding)
@@ -148,7 +148,6 @@
 	}
 	_ = schedules.Wait()
 	_ = calls.Wait()
-	report.Elapsed = time.Since(start)
 	return report
 }
 
