--- a/internal/measure/spending.go
+++ b/internal/measure/spending.go
@@ -28,7 +28,7 @@
 		s.bytes += float64(traffic.BytesOut)
 		s.byNode[i.Node.ID()] = float64(traffic.BytesOut)
 		for method, n := range traffic.ByMethod {
-			s.byMethod[method] += float64(n)
+			s.byMethod[method] += float64(n.BytesOut)
 		}
 	}
 	s.calls = platformCalls(fleet.Store.Counts())
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -1,9 +1,7 @@
 package peer
 
 import (
-	"bufio"
 	"crypto/rand"
-	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net"
@@ -16,60 +14,11 @@
 )
 
 const (
-	// maxMessage is the longest message in bytes; a transfer of chunks stays
-	// below it.
-	maxMessage = 4 << 20
-	maxHello   = 512
-	nonceSize  = 32
+	maxHello  = 512
+	nonceSize = 32
 )
 
-var (
-	errWrongKey = errors.New("the other side did not prove the shared key")
-	errTooLong  = errors.New("message is too long")
-)
-
-// limitedCodec frames each message by its length.
-type limitedCodec struct{}
-
-func (limitedCodec) WriteObject(w io.Writer, v any) error {
-	data, err := json.Marshal(v)
-	if err != nil {
-		return err
-	}
-	return writeFrame(w, data)
-}
-
-func (limitedCodec) ReadObject(r *bufio.Reader, v any) error {
-	data, err := readFrame(r, maxMessage)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(data, v)
-}
-
-func writeFrame(w io.Writer, data []byte) error {
-	if len(data) > maxMessage {
-		return errTooLong
-	}
-	frame := make([]byte, 4, 4+len(data))
-	binary.BigEndian.PutUint32(frame, uint32(len(data)))
-	_, err := w.Write(append(frame, data...))
-	return err
-}
-
-func readFrame(r io.Reader, limit uint32) ([]byte, error) {
-	var head [4]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return nil, err
-	}
-	n := binary.BigEndian.Uint32(head[:])
-	if n > limit {
-		return nil, errTooLong
-	}
-	data := make([]byte, n)
-	_, err := io.ReadFull(r, data)
-	return data, err
-}
+var errWrongKey = errors.New("the other side did not prove the shared key")
 
 // proveAsServer sends a nonce, checks the client's proof of it and proves the
 // client's nonce in turn.
@@ -122,12 +71,13 @@
 	if err != nil {
 		return err
 	}
-	return writeFrame(w, data)
+	_, err = writeFrame(w, data)
+	return err
 }
 
 func readHello(r io.Reader) (messages.Hello, error) {
 	var hello messages.Hello
-	data, err := readFrame(r, maxHello)
+	data, _, err := readFrame(r, maxHello)
 	if err != nil {
 		return hello, err
 	}
@@ -139,21 +89,3 @@
 	}
 	return hello, nil
 }
-
-// countedConn counts the bytes of a connection for its endpoint.
-type countedConn struct {
-	net.Conn
-	endpoint *Endpoint
-}
-
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.endpoint.bytesIn.Add(uint64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.endpoint.bytesOut.Add(uint64(n))
-	return n, err
-}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -21,6 +21,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -37,8 +39,16 @@
 const (
 	dialTimeout      = 1 * time.Second
 	handshakeTimeout = 2 * time.Second
-	// idleLimit is the age at which an unused connection is closed.
-	idleLimit = 2 * time.Minute
+	// writeTimeout ends a connection whose other side does not read.
+	writeTimeout = 2 * time.Second
+	// idleLimit is the age at which an unused connection is closed. A member of
+	// a zone of 160 is probed by each other one about every three minutes.
+	idleLimit = 5 * time.Minute
+	// maxOutgoing bounds the connections that the node opened; the one that was
+	// unused for longest makes room.
+	maxOutgoing = 512
+	// maxIncoming bounds the connections that others opened.
+	maxIncoming = 2048
 	// maxHandlers bounds the messages of one connection handled at once.
 	maxHandlers = 32
 )
@@ -70,10 +80,23 @@
 	BytesIn, BytesOut uint64
 	// KeyRefused counts connections that did not prove the key.
 	KeyRefused uint64
-	// Malformed counts messages that could not be decoded.
+	// Malformed counts messages that could not be decoded or were too long.
 	Malformed uint64
-	// ByMethod is the number of bytes sent as calls, by method.
-	ByMethod map[string]uint64
+	// Refused counts connections above the bound.
+	Refused uint64
+	// ByMethod is the traffic of questions and answers by method, with their
+	// frames. The handshakes stand under [MethodHandshake].
+	ByMethod map[string]MethodCounts
+}
+
+// MethodHandshake is the name under which the handshakes are counted.
+const MethodHandshake = "handshake"
+
+// MethodCounts is the traffic of one method.
+type MethodCounts struct {
+	BytesIn, BytesOut uint64
+	// Messages counts questions and answers in both directions.
+	Messages uint64
 }
 
 // Endpoint is one node's side of the control traffic. It is safe for use by
@@ -88,12 +111,14 @@
 	cancel   context.CancelFunc
 	group    errgroup.Group
 
-	bytesIn, bytesOut, keyRefused, malformed atomic.Uint64
+	bytesIn, bytesOut, keyRefused, malformed, refused atomic.Uint64
+
+	accepted atomic.Int64
 
 	mu       sync.Mutex
 	outgoing map[netip.AddrPort]*connection
 	incoming map[*jsonrpc2.Conn]struct{}
-	byMethod map[string]uint64
+	byMethod map[string]MethodCounts
 	closed   bool
 }
 
@@ -128,7 +153,7 @@
 		addr:     netip.MustParseAddrPort(listener.Addr().String()),
 		outgoing: make(map[netip.AddrPort]*connection),
 		incoming: make(map[*jsonrpc2.Conn]struct{}),
-		byMethod: make(map[string]uint64),
+		byMethod: make(map[string]MethodCounts),
 		dialer:   &net.Dialer{Timeout: dialTimeout},
 	}
 	for _, opt := range opts {
@@ -147,15 +172,14 @@
 func (e *Endpoint) Counts() Counts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	byMethod := make(map[string]uint64, len(e.byMethod))
-	for method, n := range e.byMethod {
-		byMethod[method] = n
-	}
+	byMethod := make(map[string]MethodCounts, len(e.byMethod))
+	maps.Copy(byMethod, e.byMethod)
 	return Counts{
 		BytesIn:    e.bytesIn.Load(),
 		BytesOut:   e.bytesOut.Load(),
 		KeyRefused: e.keyRefused.Load(),
 		Malformed:  e.malformed.Load(),
+		Refused:    e.refused.Load(),
 		ByMethod:   byMethod,
 	}
 }
@@ -198,17 +222,20 @@
 	if err != nil {
 		return answer, err
 	}
-	e.count(method, len(params))
 	if err := conn.Call(ctx, method, json.RawMessage(params), &answer); err != nil {
 		return answer, errors.Wrapf(err, "%s to %s", method, to)
 	}
 	return answer, nil
 }
 
-func (e *Endpoint) count(method string, n int) {
+func (e *Endpoint) count(method string, in, out int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.byMethod[method] += uint64(n)
+	n := e.byMethod[method]
+	n.BytesIn += uint64(in)
+	n.BytesOut += uint64(out)
+	n.Messages++
+	e.byMethod[method] = n
 }
 
 // connect returns the open connection to a node or opens one. Several callers
@@ -221,8 +248,12 @@
 	}
 	c, ok := e.outgoing[to]
 	if !ok {
+		surplus := e.surplusLocked()
 		c = &connection{ready: make(chan struct{})}
 		e.outgoing[to] = c
+		if surplus != nil {
+			e.group.Go(func() error { _ = surplus.Close(); return nil })
+		}
 		e.group.Go(func() error { e.open(c, to); return nil })
 	}
 	c.lastUsed = time.Now()
@@ -253,11 +284,36 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", to)
 	}
-	if err := proveAsClient(raw, e.key); err != nil {
+	counted := e.counted(raw)
+	err = proveAsClient(counted, e.key)
+	e.countHandshake(counted)
+	if err != nil {
 		_ = raw.Close()
 		return nil, errors.Wrapf(err, "handshake with %s", to)
 	}
-	return e.start(raw), nil
+	return e.start(counted), nil
+}
+
+// surplusLocked returns the connection that makes room for another one, if that
+// is needed.
+func (e *Endpoint) surplusLocked() *jsonrpc2.Conn {
+	if len(e.outgoing) < maxOutgoing {
+		return nil
+	}
+	var oldest *connection
+	for _, c := range e.outgoing {
+		select {
+		case <-c.ready:
+			if c.conn != nil && (oldest == nil || c.lastUsed.Before(oldest.lastUsed)) {
+				oldest = c
+			}
+		default:
+		}
+	}
+	if oldest == nil {
+		return nil
+	}
+	return oldest.conn
 }
 
 func (e *Endpoint) forget(to netip.AddrPort, c *connection) {
@@ -279,19 +335,30 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		e.group.Go(func() error { e.serve(raw); return nil })
+		if e.accepted.Add(1) > maxIncoming {
+			e.accepted.Add(-1)
+			e.refused.Add(1)
+			_ = raw.Close()
+			continue
+		}
+		e.group.Go(func() error {
+			defer e.accepted.Add(-1)
+			e.serve(raw)
+			return nil
+		})
 	}
 }
 
 func (e *Endpoint) serve(raw net.Conn) {
-	if err := proveAsServer(raw, e.key); err != nil {
-		if errors.Is(err, errWrongKey) {
-			e.keyRefused.Add(1)
-		}
+	counted := e.counted(raw)
+	err := proveAsServer(counted, e.key)
+	e.countHandshake(counted)
+	if err != nil {
+		e.countRefusal(err)
 		_ = raw.Close()
 		return
 	}
-	conn := e.start(raw)
+	conn := e.start(counted)
 	e.mu.Lock()
 	e.incoming[conn] = struct{}{}
 	closed := e.closed
@@ -305,13 +372,28 @@
 	e.mu.Unlock()
 }
 
-func (e *Endpoint) start(raw net.Conn) *jsonrpc2.Conn {
-	_ = raw.SetDeadline(time.Time{})
-	counted := &countedConn{Conn: raw, endpoint: e}
+// countRefusal counts why a handshake failed. A connection that closes without
+// a word is nobody's fault.
+func (e *Endpoint) countRefusal(err error) {
+	var broken net.Error
+	switch {
+	case errors.Is(err, errWrongKey):
+		e.keyRefused.Add(1)
+	case errors.Is(err, io.EOF), errors.As(err, &broken):
+	default:
+		e.malformed.Add(1)
+	}
+}
+
+func (e *Endpoint) start(conn *countedConn) *jsonrpc2.Conn {
+	_ = conn.SetDeadline(time.Time{})
+	conn.isStarted = true
 	dispatch := &dispatcher{endpoint: e}
 	dispatch.group.SetLimit(maxHandlers)
-	stream := jsonrpc2.NewBufferedStream(counted, limitedCodec{})
-	return jsonrpc2.NewConn(e.ctx, stream, dispatch, jsonrpc2.SetLogger(quiet{}))
+	codec := &codec{endpoint: e, methods: make(map[jsonrpc2.ID]string)}
+	stream := jsonrpc2.NewBufferedStream(conn, codec)
+	return jsonrpc2.NewConn(e.ctx, stream, dispatch, jsonrpc2.SetLogger(quiet{}),
+		jsonrpc2.OnSend(codec.beforeSend), jsonrpc2.OnRecv(codec.afterReceive))
 }
 
 func (e *Endpoint) closeIdle() error {
--- /dev/null
+++ b/io/peer/traffic.go
@@ -0,0 +1,133 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// codec frames the messages of one connection and counts them by method.
+//
+// The connection calls beforeSend and then WriteObject for one message after the
+// other, and likewise ReadObject and then afterReceive, so that sending and
+// size are only used by the writer and the reader in turn. Lock order: mu is
+// the only lock.
+type codec struct {
+	endpoint *Endpoint
+	// sending is the method of the message that is written next.
+	sending string
+	// size is the length of the frame that was read last.
+	size int
+
+	mu sync.Mutex
+	// methods holds the open questions of the other side.
+	methods map[jsonrpc2.ID]string
+}
+
+// WriteObject writes one message.
+func (c *codec) WriteObject(w io.Writer, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	n, err := writeFrame(w, data)
+	c.endpoint.count(c.sending, 0, n)
+	return err
+}
+
+// ReadObject reads one message.
+func (c *codec) ReadObject(r *bufio.Reader, v any) error {
+	data, n, err := readFrame(r, maxMessage)
+	c.size = n
+	if err == nil {
+		err = json.Unmarshal(data, v)
+	} else if n == 0 {
+		// The connection ended between two messages.
+		return err
+	}
+	var broken net.Error
+	if err != nil && !errors.As(err, &broken) {
+		c.endpoint.malformed.Add(1)
+	}
+	return err
+}
+
+func (c *codec) beforeSend(request *jsonrpc2.Request, response *jsonrpc2.Response) {
+	if request != nil {
+		c.sending = request.Method
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sending = c.methods[response.ID]
+	delete(c.methods, response.ID)
+}
+
+func (c *codec) afterReceive(request *jsonrpc2.Request, response *jsonrpc2.Response) {
+	method := ""
+	switch {
+	case response != nil && request != nil:
+		method = request.Method
+	case request != nil:
+		method = c.endpoint.known(request.Method)
+	}
+	c.endpoint.count(method, c.size, 0)
+	if response != nil || request == nil || request.Notif {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.methods[request.ID] = method
+}
+
+// known returns the method, or nothing for one that the node does not handle, so
+// that others cannot make the counts grow.
+func (e *Endpoint) known(method string) string {
+	if _, ok := e.mux.handlers[method]; ok {
+		return method
+	}
+	return ""
+}
+
+// countedConn counts the bytes of a connection for its endpoint. Once the
+// connection is started, each write has a time limit of its own.
+type countedConn struct {
+	net.Conn
+	endpoint  *Endpoint
+	in, out   int
+	isStarted bool
+}
+
+func (e *Endpoint) counted(raw net.Conn) *countedConn { return &countedConn{Conn: raw, endpoint: e} }
+
+// countHandshake counts what was sent until now as a handshake.
+func (e *Endpoint) countHandshake(c *countedConn) { e.count(MethodHandshake, c.in, c.out) }
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.endpoint.bytesIn.Add(uint64(n))
+	if !c.isStarted {
+		c.in += n
+	}
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	if c.isStarted {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Write(p)
+	c.endpoint.bytesOut.Add(uint64(n))
+	if !c.isStarted {
+		c.out += n
+	}
+	return n, err
+}
