member, membership: probing, suspicion and comparison by hashes

The thin gossip sent all members each second. core/member is a state machine in the manner of SWIM: one probe a second inside the zone, indirect probes, suspicion with refutation, eager pushes, representatives between zones, hashes of all records with a comparison by zone and bucket, joins in pages with a bound and refusals, tombstones, pauses, two ids at one address. The platform holds one object a zone, written by its representatives on change only.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -10,6 +10,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -21,18 +22,37 @@
 	self      messages.Member
 	members   []messages.Member
 	byService map[string][]messages.Member
+	byZone    map[string][]messages.Member
+	zones     []string
+	cutOff    []string
 }
 
+// Option changes a view while it is built.
+type Option func(*View)
+
+// WithCutOff names the availability zones that the node's own zone cannot reach.
+func WithCutOff(zones []string) Option { return func(v *View) { v.cutOff = zones } }
+
 // NewView returns the view of the node self, which is one of the members. The
 // slice is owned by the view from then on.
-func NewView(self messages.Member, members []messages.Member) *View {
+func NewView(self messages.Member, members []messages.Member, opts ...Option) *View {
 	slices.SortFunc(members, func(a, b messages.Member) int { return strings.Compare(a.Id, b.Id) })
-	v := &View{self: self, members: members, byService: make(map[string][]messages.Member)}
+	v := &View{
+		self:      self,
+		members:   members,
+		byService: make(map[string][]messages.Member),
+		byZone:    make(map[string][]messages.Member),
+	}
+	for _, opt := range opts {
+		opt(v)
+	}
 	for _, m := range members {
+		v.byZone[m.Zone] = append(v.byZone[m.Zone], m)
 		if IsServing(m.State) {
 			v.byService[m.Service] = append(v.byService[m.Service], m)
 		}
 	}
+	v.zones = slices.Sorted(maps.Keys(v.byZone))
 	return v
 }
 
@@ -47,15 +67,27 @@
 // their ids. The caller does not change the slice.
 func (v *View) Servers(service string) []messages.Member { return v.byService[service] }
 
-// Zone returns the members of an availability zone in order of their ids.
-func (v *View) Zone(zone string) []messages.Member {
-	var found []messages.Member
-	for _, m := range v.members {
-		if m.Zone == zone {
-			found = append(found, m)
-		}
+// Zone returns the members of an availability zone in order of their ids. The
+// caller does not change the slice.
+func (v *View) Zone(zone string) []messages.Member { return v.byZone[zone] }
+
+// Zones returns the availability zones of all members in order. The caller does
+// not change the slice.
+func (v *View) Zones() []string { return v.zones }
+
+// IsZoneCutOff says whether the node's own zone cannot reach an availability
+// zone. The members of such a zone keep the state that they last had.
+func (v *View) IsZoneCutOff(zone string) bool { return slices.Contains(v.cutOff, zone) }
+
+// ByID returns the member with an id, and false when there is none.
+func (v *View) ByID(id string) (messages.Member, bool) {
+	at, ok := slices.BinarySearchFunc(v.members, id, func(m messages.Member, id string) int {
+		return strings.Compare(m.Id, id)
+	})
+	if !ok {
+		return messages.Member{}, false
 	}
-	return found
+	return v.members[at], true
 }
 
 // IsServing says whether a member in this state takes new calls. A suspect is
--- /dev/null
+++ b/core/member/sync.go
@@ -0,0 +1,211 @@
+package member
+
+import (
+	"net/netip"
+	"time"
+
+	"lavenderdeal/schema/messages"
+)
+
+const (
+	// quietTime is how long the members must be unchanged before a difference
+	// counts as lost and not as on its way.
+	quietTime = 1 * time.Second
+	// syncLimit is the longest time without a comparison while members differ.
+	syncLimit  = 5 * time.Second
+	syncPause  = 1 * time.Second
+	syncJitter = 2 * time.Second
+	nextJitter = 300 * time.Millisecond
+
+	maxSyncZones   = 64
+	maxSyncBuckets = 64
+	// maxTransfer is the number of records in one message of a transfer.
+	maxTransfer = 256
+)
+
+// considerSync compares with a peer that knows other members.
+func (t *Table) considerSync(with netip.AddrPort) {
+	if t.now.Before(t.nextSync) {
+		return
+	}
+	isQuiet := t.now.Sub(t.changedAt) >= quietTime
+	if isQuiet || t.stale || t.now.Sub(t.syncedAt) >= syncLimit {
+		t.startSync(with)
+	}
+}
+
+// refresh compares with anyone while the node's knowledge is stale.
+func (t *Table) refresh() {
+	if !t.stale || t.now.Before(t.nextSync) {
+		return
+	}
+	if r, ok := t.randomMember(t.anyZone(), isLive); ok {
+		t.startSync(r.Peer)
+	}
+}
+
+// anyZone returns the node's own zone or, half of the time, any zone.
+func (t *Table) anyZone() string {
+	if t.rng.IntN(2) == 0 {
+		return t.self.Zone
+	}
+	return t.zoneNames[t.rng.IntN(len(t.zoneNames))]
+}
+
+func (t *Table) startSync(with netip.AddrPort) {
+	if t.syncing || t.hasSuccessor {
+		return
+	}
+	t.syncing = true
+	t.syncedAt = t.now
+	t.nextSync = t.now.Add(syncPause + t.jitter(syncJitter))
+	q := Sync{From: t.self.Id, Version: t.Version}
+	for _, name := range t.zoneNames {
+		q.Zones = append(q.Zones, messages.ZoneDigest{Zone: name, Digest: t.zones[name].digest})
+	}
+	t.sendSync(with, q)
+}
+
+func (t *Table) sendSync(to netip.AddrPort, q Sync) {
+	t.send(Send{To: to, Request: q, Timeout: TransferTimeout, purpose: purposeSync})
+}
+
+// serveSync answers one step of a comparison.
+func (t *Table) serveSync(q Sync) Answer {
+	t.applyAll(q.Members, isFew(q.Members))
+	var answer SyncAnswer
+	if len(q.Zones) > 0 {
+		answer.Buckets = t.differing(q.Zones)
+	}
+	for _, known := range q.Known {
+		t.compareBucket(known, &answer)
+	}
+	answer.Version = t.Version
+	answer.Digest = t.digest
+	return answer
+}
+
+// differing returns the buckets of the zones that differ, starting at a random
+// zone when there are too many.
+func (t *Table) differing(theirs []messages.ZoneDigest) []messages.ZoneBuckets {
+	digests := make(map[string]uint64, len(theirs))
+	for _, z := range theirs {
+		digests[z.Zone] = z.Digest
+	}
+	var found []messages.ZoneBuckets
+	start := t.rng.IntN(len(t.zoneNames))
+	for i := range t.zoneNames {
+		z := t.zones[t.zoneNames[(start+i)%len(t.zoneNames)]]
+		digest, ok := digests[z.name]
+		delete(digests, z.name)
+		if (!ok || digest != z.digest) && len(found) < maxSyncZones {
+			found = append(found, messages.ZoneBuckets{Zone: z.name, Digests: append([]uint64(nil), z.buckets[:]...)})
+		}
+	}
+	for _, z := range theirs {
+		if digest, ok := digests[z.Zone]; ok && digest != 0 && len(found) < maxSyncZones && isName(z.Zone) {
+			found = append(found, messages.ZoneBuckets{Zone: z.Zone, Digests: make([]uint64, bucketCount)})
+		}
+	}
+	return found
+}
+
+// compareBucket adds what the asking side lacks, and the ids of what this side
+// lacks.
+func (t *Table) compareBucket(theirs messages.KnownBucket, answer *SyncAnswer) {
+	known := make(map[string]messages.KnownMember, len(theirs.Members))
+	for _, k := range theirs.Members {
+		known[k.Id] = k
+		r, ok := t.records[k.Id]
+		isWanted := !ok && k.Health != Failed
+		if ok {
+			isWanted = isNewer(messages.Member{Incarnation: k.Incarnation, Health: k.Health}, r.Member)
+		}
+		if isWanted && len(answer.Wants) < maxTransfer {
+			answer.Wants = append(answer.Wants, k.Id)
+		}
+	}
+	z, ok := t.zones[theirs.Zone]
+	if !ok {
+		return
+	}
+	for _, r := range z.records {
+		if bucketOf(r.Id) != theirs.Bucket || len(answer.Members) >= maxTransfer {
+			continue
+		}
+		k, ok := known[r.Id]
+		isLacking := !ok && isLive(r)
+		if ok {
+			isLacking = isNewer(r.Member, messages.Member{Incarnation: k.Incarnation, Health: k.Health})
+		}
+		if isLacking {
+			answer.Members = append(answer.Members, r.Member)
+		}
+	}
+}
+
+// syncAnswered takes in one step of a comparison and asks for the next.
+func (t *Table) syncAnswered(send Send, a SyncAnswer) {
+	t.applyAll(a.Members, isFew(a.Members))
+	q := Sync{From: t.self.Id, Version: t.Version, Known: t.known(a.Buckets), Members: t.wanted(a.Wants)}
+	if len(q.Known) > 0 || len(q.Members) > 0 {
+		t.sendSync(send.To, q)
+		return
+	}
+	t.syncing = false
+	t.stale = false
+	if a.Digest == t.digest {
+		t.joining.done = true
+		return
+	}
+	t.nextSync = t.now.Add(t.jitter(nextJitter))
+}
+
+// known returns what the table knows in the buckets that differ.
+func (t *Table) known(theirs []messages.ZoneBuckets) []messages.KnownBucket {
+	var found []messages.KnownBucket
+	for _, zone := range theirs {
+		var own [bucketCount]uint64
+		z, ok := t.zones[zone.Zone]
+		if ok {
+			own = z.buckets
+		}
+		for b, digest := range zone.Digests {
+			if b >= bucketCount || len(found) >= maxSyncBuckets {
+				break
+			}
+			if digest == own[b] {
+				continue
+			}
+			bucket := messages.KnownBucket{Zone: zone.Zone, Bucket: b, Members: []messages.KnownMember{}}
+			if ok {
+				bucket.Members = z.known(b)
+			}
+			found = append(found, bucket)
+		}
+	}
+	return found
+}
+
+func (z *zone) known(bucket int) []messages.KnownMember {
+	members := []messages.KnownMember{}
+	for _, r := range z.records {
+		if bucketOf(r.Id) == bucket {
+			members = append(members, messages.KnownMember{Id: r.Id, Incarnation: r.Incarnation, Health: r.Health})
+		}
+	}
+	return members
+}
+
+func (t *Table) wanted(ids []string) []messages.Member {
+	var members []messages.Member
+	for _, id := range ids {
+		if r, ok := t.records[id]; ok && len(members) < maxTransfer {
+			members = append(members, r.Member)
+		}
+	}
+	return members
+}
+
+// isFew says whether repaired records are pushed on at once.
+func isFew(members []messages.Member) bool { return len(members) <= updatesInMessage }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,13 +1,17 @@
 // Package membership keeps a node's view of the fleet.
 //
-// A [Loop] runs until its context ends and publishes a new view after each
-// change. Its messages carry the version in force, so that a node that is behind
-// hears of it.
+// A [Loop] feeds time and messages to the decisions of core/member and carries
+// out what they ask for. It publishes a new view after changes. Its messages
+// carry the version in force, so that a node that is behind hears of it.
+//
+//	loop := &membership.Loop{Plans: plans, View: view, Platform: client, ...}
+//	loop.Handle(mux)
+//	loop.Start(self)
+//	err := loop.Run(ctx)
 package membership
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -19,19 +23,26 @@
 
 	"lavenderdeal/core/explain"
 	"lavenderdeal/core/fleet"
+	"lavenderdeal/core/member"
 	"lavenderdeal/internal/inforce"
 	"lavenderdeal/internal/metrics"
 	"lavenderdeal/io/peer"
 	"lavenderdeal/io/platform"
 	"lavenderdeal/schema/messages"
-	"lavenderdeal/schema/objects"
 )
 
 const (
-	gossipPeriod  = 1 * time.Second
-	gossipTimeout = 1 * time.Second
-	peersPrefix   = "peers/"
-	gossipMethod  = "gossip"
+	tickPeriod = 100 * time.Millisecond
+	// publishPeriod is the shortest time between two views, but for changes of
+	// the node itself.
+	publishPeriod = 50 * time.Millisecond
+	// maxSends bounds the messages that wait for an answer at once.
+	maxSends = 256
+
+	probeMethod    = "probe"
+	probeForMethod = "probeFor"
+	syncMethod     = "sync"
+	joinMethod     = "join"
 )
 
 // Loop is the membership of one node. Lock order: mu is the only lock.
@@ -44,161 +55,120 @@
 	Metrics  *metrics.Set
 	Log      log.Interface
 	Seeds    []netip.AddrPort
-
-	mu      sync.Mutex
-	self    messages.Member
-	members map[string]messages.Member
+	// StartJitter is the time over which the first look into the platform is
+	// spread, so that a restart of the whole fleet stays under the platform's
+	// rates. The zero value stands for two seconds.
+	StartJitter time.Duration
+
+	mu          sync.Mutex
+	table       *member.Table
+	zone        string
+	own         netip.AddrPort
+	startedAt   time.Time
+	published   uint64
+	publishedAt time.Time
+	waiting     []member.Send
+	wake        chan struct{}
 }
 
 // Start announces the node itself. It is called once, before Run.
 func (l *Loop) Start(self messages.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.self = self
-	l.members = map[string]messages.Member{self.Id: self}
-	l.publishView()
+	now := time.Now()
+	if self.Epoch == 0 {
+		self.Epoch = uint64(now.UnixMilli())
+	}
+	l.table = member.New(now, self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	l.table.AddSeeds(l.Seeds)
+	l.zone, l.own, l.startedAt = self.Zone, self.Peer, now
+	l.wake = make(chan struct{}, 1)
+	l.publishLocked(now)
 }
 
 // SetState announces another state of the node itself.
 func (l *Loop) SetState(state messages.MemberState) {
+	l.event(func(t *member.Table, now time.Time) []member.Effect { return t.SetState(now, state) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.self.State = state
-	l.self.Incarnation++
-	l.members[l.self.Id] = l.self
-	l.publishView()
+	l.publishLocked(time.Now())
 }
 
 // Handle registers the messages that the loop answers.
 func (l *Loop) Handle(mux *peer.Mux) {
-	peer.Handle(mux, gossipMethod, func(_ context.Context, q messages.Gossip) (messages.Gossip, error) {
-		l.merge(q)
-		return l.gossip(), nil
-	})
+	peer.Handle(mux, probeMethod, l.probe)
+	peer.Handle(mux, syncMethod, l.sync)
+	peer.Handle(mux, joinMethod, l.join)
+	peer.Handle(mux, probeForMethod, l.relay)
 }
 
 // Run follows the fleet until ctx is done.
 func (l *Loop) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { l.announcePeer(ctx); return nil })
-	group.Go(func() error { return l.gossipForever(ctx) })
+	group.Go(func() error { return l.tickForever(ctx) })
+	group.Go(func() error { return l.sendForever(ctx) })
+	group.Go(func() error { return l.findPeers(ctx) })
 	return group.Wait()
 }
 
-// announcePeer writes the node's address for those that come later.
-func (l *Loop) announcePeer(ctx context.Context) {
-	entries, err := l.Platform.List(ctx, peersPrefix)
-	if err != nil {
-		l.Metrics.Add("platformErrors", 1)
-	}
-	for _, entry := range entries {
-		object, err := l.Platform.Get(ctx, entry.Key)
-		if err != nil {
-			continue
-		}
-		var peers objects.ZonePeers
-		if json.Unmarshal(object.Value, &peers) == nil {
-			l.mu.Lock()
-			l.Seeds = append(l.Seeds, peers.Addresses...)
-			l.mu.Unlock()
-		}
-	}
-	l.mu.Lock()
-	own := objects.ZonePeers{Zone: l.self.Zone, Addresses: []netip.AddrPort{l.self.Peer}}
-	key := peersPrefix + l.self.Zone + "/" + l.self.Id
-	l.mu.Unlock()
-	value, err := json.Marshal(own)
-	if err != nil {
-		return
-	}
-	if _, err := l.Platform.Put(ctx, key, value, 0); err != nil {
-		l.Metrics.Add("platformErrors", 1)
-	}
-}
-
-func (l *Loop) gossipForever(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if to, ok := l.randomPeer(); ok {
-			l.gossipWith(ctx, to)
-		}
-		sleep(ctx, gossipPeriod)
-	}
-	return nil
-}
-
-func (l *Loop) gossipWith(ctx context.Context, to netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
-	defer cancel()
-	answer, err := peer.Call[messages.Gossip](ctx, l.Endpoint, to, gossipMethod, l.gossip())
-	if err != nil {
-		l.Metrics.Add("gossipErrors", 1)
-		return
-	}
-	l.merge(answer)
-}
-
-func (l *Loop) randomPeer() (netip.AddrPort, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	candidates := append([]netip.AddrPort{}, l.Seeds...)
-	for _, m := range l.members {
-		candidates = append(candidates, m.Peer)
-	}
-	for range candidates {
-		candidate := candidates[rand.IntN(len(candidates))]
-		if candidate != l.self.Peer {
-			return candidate, true
+func (l *Loop) tickForever(ctx context.Context) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			l.event(func(t *member.Table, now time.Time) []member.Effect { return t.Tick(now) })
 		}
 	}
-	return netip.AddrPort{}, false
 }
 
-func (l *Loop) gossip() messages.Gossip {
+// event passes one event to the table and carries out the effects.
+func (l *Loop) event(fn func(t *member.Table, now time.Time) []member.Effect) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	g := messages.Gossip{From: l.self.Id, Version: l.Plans.Number()}
-	for _, m := range l.members {
-		g.Members = append(g.Members, m)
-	}
-	return g
-}
-
-func (l *Loop) merge(g messages.Gossip) {
-	l.Plans.Heard(g.Version)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.members == nil {
+	if l.table == nil {
 		// The node has not started yet.
 		return
 	}
-	changed := false
-	for _, m := range g.Members {
-		known, ok := l.members[m.Id]
-		if m.Id == l.self.Id || (ok && known.Incarnation >= m.Incarnation) {
-			continue
-		}
-		l.members[m.Id] = m
-		changed = true
+	now := time.Now()
+	l.table.Version = l.Plans.Number()
+	malformed := l.table.Malformed()
+	l.carryOutLocked(now, fn(l.table, now))
+	if n := l.table.Malformed() - malformed; n > 0 {
+		l.Metrics.Add("membersMalformed", int64(n))
 	}
-	if changed {
-		l.publishView()
+	if now.Sub(l.publishedAt) >= publishPeriod {
+		l.publishLocked(now)
 	}
 }
 
-// publishView publishes the members. The caller holds mu.
-func (l *Loop) publishView() {
-	members := make([]messages.Member, 0, len(l.members))
-	for _, m := range l.members {
-		members = append(members, m)
+func (l *Loop) carryOutLocked(now time.Time, effects []member.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case member.Send:
+			l.waiting = append(l.waiting, e)
+		case member.Changed:
+			l.Metrics.Add(e.Kind, 1)
+			l.Ring.Add(explain.Record{At: now, Kind: e.Kind, Subject: e.Subject, Detail: e.Detail})
+			l.Log.WithField("subject", e.Subject).WithField("detail", e.Detail).Info(e.Kind)
+		}
+	}
+	if len(l.waiting) > 0 {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
 	}
-	l.View.Store(fleet.NewView(l.self, members))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+// publishLocked publishes the members when they changed.
+func (l *Loop) publishLocked(now time.Time) {
+	if l.table == nil || l.table.Revision() == l.published {
+		return
 	}
+	l.published = l.table.Revision()
+	l.publishedAt = now
+	l.View.Store(fleet.NewView(l.table.Self(), l.table.Members(), fleet.WithCutOff(l.table.CutOff())))
 }
--- a/schema/messages/messages.gen.go
+++ b/schema/messages/messages.gen.go
@@ -132,8 +132,12 @@
 	Version uint64 `json:"version" yaml:"version"`
 }
 
-// Members that the sender knows, with the version it has in force.
+// A probe of a member, and the answer to it: changes that the sender knows, with
+// the version it has in force.
 type Gossip struct {
+	// Hash of all members that the sender knows.
+	Digest uint64 `json:"digest" yaml:"digest"`
+
 	// From corresponds to the JSON schema field "from".
 	From string `json:"from" yaml:"from"`
 
@@ -178,6 +182,57 @@
 	Proof []byte `json:"proof" yaml:"proof"`
 }
 
+// A new node asks for all members, page by page.
+type Join struct {
+	// Last id of the page before, or empty.
+	After string `json:"after" yaml:"after"`
+
+	// The new node.
+	Member Member `json:"member" yaml:"member"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version uint64 `json:"version" yaml:"version"`
+}
+
+type JoinAnswer struct {
+	// Members corresponds to the JSON schema field "members".
+	Members []Member `json:"members,omitempty,omitzero" yaml:"members,omitempty"`
+
+	// Where the next page starts, or empty after the last one.
+	Next string `json:"next" yaml:"next"`
+
+	// Other nodes to ask.
+	Others []netip.AddrPort `json:"others,omitempty,omitzero" yaml:"others,omitempty"`
+
+	// When above 0 the join is refused for this time, in milliseconds.
+	RetryMillis int64 `json:"retryMillis" yaml:"retryMillis"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version uint64 `json:"version" yaml:"version"`
+}
+
+type KnownBucket struct {
+	// Bucket corresponds to the JSON schema field "bucket".
+	Bucket int `json:"bucket" yaml:"bucket"`
+
+	// Members corresponds to the JSON schema field "members".
+	Members []KnownMember `json:"members" yaml:"members"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone string `json:"zone" yaml:"zone"`
+}
+
+type KnownMember struct {
+	// Health corresponds to the JSON schema field "health".
+	Health uint8 `json:"health" yaml:"health"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `json:"id" yaml:"id"`
+
+	// Incarnation corresponds to the JSON schema field "incarnation".
+	Incarnation uint64 `json:"incarnation" yaml:"incarnation"`
+}
+
 // Load of a backend server, brought back by each answer.
 type Load struct {
 	// Queued corresponds to the JSON schema field "queued".
@@ -195,6 +250,17 @@
 	// Call corresponds to the JSON schema field "call".
 	Call netip.AddrPort `json:"call" yaml:"call"`
 
+	// Availability zones that this node, a representative of its zone, cannot reach.
+	CutOff []string `json:"cutOff,omitempty,omitzero" yaml:"cutOff,omitempty"`
+
+	// Start of the process in Unix milliseconds. Of two ids at one peer address the
+	// higher epoch is alive.
+	Epoch uint64 `json:"epoch,omitempty,omitzero" yaml:"epoch,omitempty"`
+
+	// What others found: 0 alive, 1 suspect, 2 failed. Raised by anyone, reset by the
+	// node itself with a higher incarnation.
+	Health uint8 `json:"health,omitempty,omitzero" yaml:"health,omitempty"`
+
 	// Id of the node's process, never used again.
 	Id string `json:"id" yaml:"id"`
 
@@ -213,7 +279,8 @@
 	// Slots corresponds to the JSON schema field "slots".
 	Slots int `json:"slots" yaml:"slots"`
 
-	// State corresponds to the JSON schema field "state".
+	// State that the node announces: starting, ready or leaving. In a view also
+	// suspect and failed.
 	State MemberState `json:"state" yaml:"state"`
 
 	// Zone corresponds to the JSON schema field "zone".
@@ -264,6 +331,97 @@
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero" yaml:"hello,omitempty"`
 
+	// Join corresponds to the JSON schema field "join".
+	Join *Join `json:"join,omitempty,omitzero" yaml:"join,omitempty"`
+
+	// JoinAnswer corresponds to the JSON schema field "joinAnswer".
+	JoinAnswer *JoinAnswer `json:"joinAnswer,omitempty,omitzero" yaml:"joinAnswer,omitempty"`
+
 	// Load corresponds to the JSON schema field "load".
 	Load *Load `json:"load,omitempty,omitzero" yaml:"load,omitempty"`
+
+	// ProbeFor corresponds to the JSON schema field "probeFor".
+	ProbeFor *ProbeFor `json:"probeFor,omitempty,omitzero" yaml:"probeFor,omitempty"`
+
+	// Reached corresponds to the JSON schema field "reached".
+	Reached *Reached `json:"reached,omitempty,omitzero" yaml:"reached,omitempty"`
+
+	// Sync corresponds to the JSON schema field "sync".
+	Sync *Sync `json:"sync,omitempty,omitzero" yaml:"sync,omitempty"`
+
+	// SyncAnswer corresponds to the JSON schema field "syncAnswer".
+	SyncAnswer *SyncAnswer `json:"syncAnswer,omitempty,omitzero" yaml:"syncAnswer,omitempty"`
+}
+
+// Asks the receiver to probe a member that did not answer the sender.
+type ProbeFor struct {
+	// Address corresponds to the JSON schema field "address".
+	Address netip.AddrPort `json:"address" yaml:"address"`
+
+	// From corresponds to the JSON schema field "from".
+	From string `json:"from" yaml:"from"`
+
+	// Id of the member.
+	Target string `json:"target" yaml:"target"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version uint64 `json:"version" yaml:"version"`
+}
+
+// Answer to ProbeFor.
+type Reached struct {
+	// Reached corresponds to the JSON schema field "reached".
+	Reached bool `json:"reached" yaml:"reached"`
+}
+
+// One step of a comparison: first the zones, then what is known in the buckets
+// that differ, then the members that the other side lacks.
+type Sync struct {
+	// From corresponds to the JSON schema field "from".
+	From string `json:"from" yaml:"from"`
+
+	// Known corresponds to the JSON schema field "known".
+	Known []KnownBucket `json:"known,omitempty,omitzero" yaml:"known,omitempty"`
+
+	// Members corresponds to the JSON schema field "members".
+	Members []Member `json:"members,omitempty,omitzero" yaml:"members,omitempty"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version uint64 `json:"version" yaml:"version"`
+
+	// Zones corresponds to the JSON schema field "zones".
+	Zones []ZoneDigest `json:"zones,omitempty,omitzero" yaml:"zones,omitempty"`
+}
+
+type SyncAnswer struct {
+	// Zones that differ.
+	Buckets []ZoneBuckets `json:"buckets,omitempty,omitzero" yaml:"buckets,omitempty"`
+
+	// Digest corresponds to the JSON schema field "digest".
+	Digest uint64 `json:"digest" yaml:"digest"`
+
+	// Members that the asking side lacks.
+	Members []Member `json:"members,omitempty,omitzero" yaml:"members,omitempty"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version uint64 `json:"version" yaml:"version"`
+
+	// Ids of members that the answering side lacks.
+	Wants []string `json:"wants,omitempty,omitzero" yaml:"wants,omitempty"`
+}
+
+type ZoneBuckets struct {
+	// Digests corresponds to the JSON schema field "digests".
+	Digests []uint64 `json:"digests" yaml:"digests"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone string `json:"zone" yaml:"zone"`
+}
+
+type ZoneDigest struct {
+	// Digest corresponds to the JSON schema field "digest".
+	Digest uint64 `json:"digest" yaml:"digest"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone string `json:"zone" yaml:"zone"`
 }
