--- a/core/member/cluster_test.go
+++ b/core/member/cluster_test.go
@@ -309,8 +309,10 @@
 			}
 			live++
 			truth := other.table.Self()
-			if m, ok := known[truth.Id]; !ok || m.State != truth.State || m.Incarnation != truth.Incarnation {
-				return fmt.Sprintf("%s has %s as %+v, it is %+v", n.self.Id, truth.Id, m, truth)
+			m, ok := known[truth.Id]
+			if !ok || m.State != truth.State || m.Incarnation != truth.Incarnation {
+				return fmt.Sprintf("%s has %s as %+v, it is %+v\nreports: %+v\nits own: %+v",
+					n.self.Id, truth.Id, n.seen[truth.Id], truth, n.reports, other.reports)
 			}
 		}
 		if len(known) != live {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -92,6 +92,7 @@
 	pushFanout       = 4
 	updatesInMessage = 12
 	maxEager         = 2 * updatesInMessage
+	maxNews          = 64
 	maxRecords       = 20000
 	maxName          = 64
 	maxCutOff        = 256
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -1,22 +1,385 @@
 package member_test
 
 import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
+	"lavenderdeal/core/member"
 	"lavenderdeal/schema/messages"
 )
 
-func TestSpread(t *testing.T) {
+const (
+	// stateLimit is the time in which the whole fleet knows a new state.
+	stateLimit = 3 * time.Second
+	startLimit = time.Minute
+)
+
+func newFleet(t *testing.T, zones, perZone int) *cluster {
+	t.Helper()
 	c := newCluster(t, 1)
-	c.isUnchecked = true
-	c.fill(6, 40)
-	took := c.runUntil(60*time.Second, c.isAgreed)
-	t.Logf("240 nodes agree after %s", took)
-	c.run(10 * time.Second)
+	c.isUnchecked = zones*perZone > 50
+	c.fill(zones, perZone)
+	took := c.runUntil(startLimit, c.isAgreed)
+	t.Logf("%d nodes agree after %s", zones*perZone, took)
+	c.run(30 * time.Second)
 	c.assertAgreed()
-	n := c.nodes[57]
-	c.setState(n, messages.MemberStateLeaving)
-	took = c.runUntil(3*time.Second, c.isAgreed)
-	t.Logf("leaving known everywhere after %s", took)
+	return c
+}
+
+func TestAnnounce(t *testing.T) {
+	c := newFleet(t, 6, 40)
+	t.Run("leaving", func(t *testing.T) {
+		c.setState(c.nodes[57], messages.MemberStateLeaving)
+		t.Logf("known everywhere after %s", c.runUntil(stateLimit, c.isAgreed))
+	})
+	t.Run("ready", func(t *testing.T) {
+		n := c.add(3, 100, address(3, 1))
+		c.runUntil(startLimit, c.isAgreed)
+		c.setState(n, messages.MemberStateReady)
+		t.Logf("known everywhere after %s", c.runUntil(stateLimit, c.isAgreed))
+	})
+	t.Run("ten of one zone leave at once", func(t *testing.T) {
+		for _, n := range c.nodes[80:90] {
+			c.setState(n, messages.MemberStateLeaving)
+		}
+		t.Logf("known everywhere after %s", c.runUntil(stateLimit, c.isAgreed))
+	})
+	t.Run("leaving is the last state", func(t *testing.T) {
+		c.setState(c.nodes[57], messages.MemberStateReady)
+		assertState(t, c.nodes[0], c.nodes[57].self.Id, messages.MemberStateLeaving)
+		if state := c.nodes[57].table.Self().State; state != messages.MemberStateLeaving {
+			t.Fatalf("it is %s again", state)
+		}
+	})
+}
+
+func TestFailure(t *testing.T) {
+	c := newFleet(t, 3, 10)
+	t.Run("a dead member fails everywhere", func(t *testing.T) {
+		c.nodes[4].isDead = true
+		took := c.runUntil(30*time.Second, func() bool { return c.disagreement() == "" })
+		t.Logf("after %s", took)
+		assertState(t, c.nodes[25], c.nodes[4].self.Id, messages.MemberStateFailed)
+	})
+	t.Run("a new process at the address ends the old one at once", func(t *testing.T) {
+		old := c.nodes[5]
+		old.isDead = true
+		c.add(0, 5, address(0, 1))
+		took := c.runUntil(stateLimit, c.isAgreed)
+		t.Logf("after %s", took)
+		assertState(t, c.nodes[25], old.self.Id, messages.MemberStateFailed)
+	})
+	t.Run("a member that one node cannot reach stays", func(t *testing.T) {
+		c.network.Cut(c.nodes[0].self.Peer, c.nodes[1].self.Peer)
+		c.run(time.Minute)
+		c.assertAgreed()
+		c.network.HealAll()
+	})
+	t.Run("tombstones go", func(t *testing.T) {
+		n := c.nodes[0]
+		for range 40 {
+			c.now = c.now.Add(2 * time.Second)
+			n.table.Tick(c.now)
+		}
+		before := len(n.table.Members())
+		for range int(member.TombstoneLife / (2 * time.Second)) {
+			c.now = c.now.Add(2 * time.Second)
+			n.table.Tick(c.now)
+		}
+		if after := len(n.table.Members()); after >= before {
+			t.Fatalf("%d members, before %d", after, before)
+		}
+	})
+}
+
+func TestPause(t *testing.T) {
+	c := newFleet(t, 2, 8)
+	n := c.nodes[3]
+	n.isPaused = true
+	c.run(40 * time.Second)
+	assertState(t, c.nodes[12], n.self.Id, messages.MemberStateFailed)
+	n.isPaused = false
+	n.reports = nil
+	c.tick(step)
+	if !n.table.IsStale() {
+		t.Fatal("it believes what it knew")
+	}
+	took := c.runUntil(10*time.Second, c.isAgreed)
+	t.Logf("agreed %s after the pause", took)
+	if n.table.IsStale() {
+		t.Fatal("it is still stale")
+	}
+	assertReported(t, n, "resumedAfterPause", true)
+	assertReported(t, n, "refuted", true)
+	assertReported(t, n, "memberFailed", false)
+	assertReported(t, n, "memberSuspect", false)
+}
+
+func TestSuspicionSurvivesPause(t *testing.T) {
+	c := newFleet(t, 1, 5)
+	n, dead := c.nodes[0], c.nodes[1]
+	dead.isDead = true
+	c.runUntil(20*time.Second, func() bool { return stateOf(n, dead.self.Id) == messages.MemberStateSuspect })
+	n.reports = nil
+	c.now = c.now.Add(time.Minute)
+	n.table.Tick(c.now)
+	assertState(t, n, dead.self.Id, messages.MemberStateSuspect)
+}
+
+func TestOneAddress(t *testing.T) {
+	t.Run("the later process stays", func(t *testing.T) {
+		c := newFleet(t, 2, 4)
+		old := c.nodes[2]
+		old.isPaused = true
+		c.run(time.Second)
+		newer := c.add(0, 2, address(0, 0))
+		c.nodes = moveToFront(c.nodes, newer)
+		c.run(5 * time.Second)
+		old.isPaused = false
+		c.run(20 * time.Second)
+		assertState(t, c.nodes[5], old.self.Id, messages.MemberStateFailed)
+		assertState(t, c.nodes[5], newer.self.Id, messages.MemberStateStarting)
+		assertNoWar(t, newer, old)
+	})
+	t.Run("a later process whose clock is behind", func(t *testing.T) {
+		c := newFleet(t, 2, 4)
+		old := c.nodes[2]
+		old.isDead = true
+		c.now = c.now.Add(-time.Hour)
+		newer := c.add(0, 2, address(0, 0))
+		c.now = c.now.Add(time.Hour)
+		c.runUntil(20*time.Second, c.isAgreed)
+		if newer.table.Self().Epoch <= old.self.Epoch {
+			t.Fatalf("epoch %d is below that of the process before", newer.table.Self().Epoch)
+		}
+		assertState(t, c.nodes[5], old.self.Id, messages.MemberStateFailed)
+	})
+}
+
+func TestCutOff(t *testing.T) {
+	c := newFleet(t, 3, 8)
+	cutZone(c, 2)
+	c.runUntil(15*time.Second, func() bool { return slices.Equal(c.nodes[1].table.CutOff(), []string{zoneName(2)}) })
+	c.run(2 * time.Minute)
+	t.Run("its members keep their state", func(t *testing.T) {
+		for _, n := range c.nodes[16:] {
+			assertState(t, c.nodes[1], n.self.Id, messages.MemberStateReady)
+			assertState(t, n, c.nodes[1].self.Id, messages.MemberStateReady)
+		}
+	})
+	t.Run("every node says so, of the zone as one thing", func(t *testing.T) {
+		for _, n := range c.nodes[:16] {
+			assertCutOff(t, n, zoneName(2))
+		}
+		for _, n := range c.nodes[16:] {
+			assertCutOff(t, n, zoneName(0), zoneName(1))
+		}
+	})
+	t.Run("healing moves only what differs", func(t *testing.T) {
+		c.nodes[20].isDead = true
+		c.setState(c.nodes[3], messages.MemberStateLeaving)
+		c.run(30 * time.Second)
+		joins := countJoins(c)
+		c.network.HealAll()
+		took := c.runUntil(10*time.Second, c.isAgreed)
+		t.Logf("agreed %s after healing", took)
+		c.runUntil(10*time.Second, func() bool { return len(c.nodes[1].table.CutOff()) == 0 })
+		if *joins > 0 {
+			t.Fatalf("%d joins", *joins)
+		}
+	})
+}
+
+func TestRepairAroundCut(t *testing.T) {
+	c := newFleet(t, 3, 4)
+	for _, a := range c.nodes[:4] {
+		for _, b := range c.nodes[8:] {
+			c.network.Cut(a.self.Peer, b.self.Peer)
+		}
+	}
+	c.run(30 * time.Second)
+	c.setState(c.nodes[1], messages.MemberStateLeaving)
+	took := c.runUntil(15*time.Second, func() bool {
+		return stateOf(c.nodes[10], c.nodes[1].self.Id) == messages.MemberStateLeaving
+	})
+	t.Logf("known by way of the zone between after %s", took)
+}
+
+func TestHerds(t *testing.T) {
+	t.Run("all nodes of a zone restart at once", func(t *testing.T) {
+		c := newFleet(t, 3, 30)
+		for _, n := range c.nodes[:30] {
+			n.isDead = true
+		}
+		for i := range 30 {
+			c.setState(c.add(0, i, address(0, 0), address(0, 1), address(1, 0)), messages.MemberStateReady)
+		}
+		t.Logf("agreed after %s", c.runUntil(startLimit, c.isAgreed))
+	})
+	t.Run("all nodes of the fleet restart at once", func(t *testing.T) {
+		c := newFleet(t, 4, 20)
+		for _, n := range c.nodes {
+			n.isDead = true
+		}
+		c.fill(4, 20)
+		t.Logf("agreed after %s", c.runUntil(startLimit, c.isAgreed))
+	})
+}
+
+func TestJoin(t *testing.T) {
+	t.Run("too many at once are sent elsewhere", func(t *testing.T) {
+		table := bigTable(600)
+		refused := 0
+		for i := range 20 {
+			answer, _ := table.Serve(start, member.Join{Member: memberAt(9000 + i)})
+			a := answer.(member.JoinAnswer)
+			if a.RetryMillis > 0 {
+				refused++
+				if len(a.Others) == 0 || len(a.Members) > 0 {
+					t.Fatalf("refused with %d members and %d other addresses", len(a.Members), len(a.Others))
+				}
+			}
+		}
+		if refused != 12 {
+			t.Fatalf("%d of 20 were refused, 8 are served at once", refused)
+		}
+	})
+	t.Run("pages hold everyone once", func(t *testing.T) {
+		table := bigTable(600)
+		seen := make(map[string]int)
+		after := ""
+		for {
+			answer, _ := table.Serve(start, member.Join{Member: memberAt(9000), After: after})
+			a := answer.(member.JoinAnswer)
+			for _, m := range a.Members {
+				seen[m.Id]++
+			}
+			if after = a.Next; after == "" {
+				break
+			}
+		}
+		if len(seen) != 602 {
+			t.Fatalf("%d members, want 602", len(seen))
+		}
+	})
+	t.Run("nobody answers", func(t *testing.T) {
+		c := newCluster(t, 1)
+		n := c.add(0, 0, address(0, 1))
+		c.run(time.Minute)
+		assertReported(t, n, "noPeer", true)
+		other := c.add(0, 1)
+		c.runUntil(20*time.Second, c.isAgreed)
+		_ = other
+		assertReported(t, n, "joined", true)
+	})
+}
+
+func TestMalformedRecords(t *testing.T) {
+	table := bigTable(1)
+	before := table.Digest()
+	good := memberAt(500)
+	for _, spoil := range []func(*messages.Member){
+		func(m *messages.Member) { m.Id = "" },
+		func(m *messages.Member) { m.Zone = string(make([]byte, 200)) },
+		func(m *messages.Member) { m.State = "asleep" },
+		func(m *messages.Member) { m.State = messages.MemberStateFailed },
+		func(m *messages.Member) { m.Health = 9 },
+		func(m *messages.Member) { m.Peer = netip.AddrPort{} },
+		func(m *messages.Member) { m.Slots = -1 },
+	} {
+		bad := good
+		spoil(&bad)
+		table.Serve(start, member.Probe{From: "other", Members: []messages.Member{bad}})
+	}
+	if table.Digest() != before || table.Malformed() != 7 {
+		t.Fatalf("%d of 7 malformed records were refused", table.Malformed())
+	}
+}
+
+func bigTable(n int) *member.Table {
+	table := member.New(start, memberAt(0), rand.New(rand.NewPCG(1, 1)))
+	var members []messages.Member
+	for i := 1; i <= n; i++ {
+		members = append(members, memberAt(i))
+	}
+	table.Serve(start, member.Probe{From: "other", Members: members})
+	return table
+}
+
+func memberAt(i int) messages.Member {
+	c := newCluster(nil, 1)
+	c.made = i
+	m := c.add(i%4, i).self
+	m.State = messages.MemberStateReady
+	return m
+}
+
+func cutZone(c *cluster, zone int) {
+	for _, a := range c.nodes {
+		for _, b := range c.nodes {
+			if a.self.Zone == zoneName(zone) && b.self.Zone != a.self.Zone {
+				c.network.Cut(a.self.Peer, b.self.Peer)
+			}
+		}
+	}
+}
+
+func countJoins(c *cluster) *int {
+	joins := new(int)
+	c.sent = func(_ *node, message any) {
+		if _, ok := message.(member.Join); ok {
+			*joins++
+		}
+	}
+	return joins
+}
+
+func moveToFront(nodes []*node, n *node) []*node {
+	rest := slices.DeleteFunc(nodes, func(other *node) bool { return other == n })
+	return append([]*node{n}, rest...)
+}
+
+func stateOf(observer *node, id string) messages.MemberState {
+	for _, m := range observer.table.Members() {
+		if m.Id == id {
+			return m.State
+		}
+	}
+	return ""
+}
+
+func assertState(t *testing.T, observer *node, id string, want messages.MemberState) {
+	t.Helper()
+	if state := stateOf(observer, id); state != want {
+		t.Fatalf("%s has %s as %q, want %q", observer.self.Id, id, state, want)
+	}
+}
+
+func assertReported(t *testing.T, n *node, kind string, want bool) {
+	t.Helper()
+	reported := slices.ContainsFunc(n.reports, func(r member.Changed) bool { return r.Kind == kind })
+	if reported != want {
+		t.Fatalf("%s reported: %v, want %v; all: %+v", kind, reported, want, n.reports)
+	}
+}
+
+func assertCutOff(t *testing.T, n *node, zones ...string) {
+	t.Helper()
+	if cutOff := n.table.CutOff(); !slices.Equal(cutOff, zones) {
+		t.Fatalf("%s has %v cut off, want %v", n.self.Id, cutOff, zones)
+	}
+}
+
+// assertNoWar checks that two processes at one address do not go on raising
+// their claims.
+func assertNoWar(t *testing.T, nodes ...*node) {
+	t.Helper()
+	for _, n := range nodes {
+		if incarnation := n.table.Self().Incarnation; incarnation > 10 {
+			t.Fatalf("%s has incarnation %d", n.self.Id, incarnation)
+		}
+	}
 }
--- a/core/member/news.go
+++ b/core/member/news.go
@@ -14,17 +14,19 @@
 }
 
 // spread makes a record ride on the next messages. An urgent one is also pushed
-// at once.
+// at once. The comparison by hashes moves what does not fit in these bounds.
 func (t *Table) spread(id string, urgent bool) {
 	t.news = slices.DeleteFunc(t.news, func(n newsItem) bool { return n.id == id })
 	t.news = append(t.news, newsItem{id: id, left: t.transmissions()})
+	if len(t.news) > maxNews {
+		t.news = slices.Delete(t.news, 0, len(t.news)-maxNews)
+	}
 	if !urgent {
 		return
 	}
 	t.eager = slices.DeleteFunc(t.eager, func(other string) bool { return other == id })
 	t.eager = append(t.eager, id)
 	if len(t.eager) > maxEager {
-		// The comparison by hashes moves what does not fit.
 		t.eager = slices.Delete(t.eager, 0, len(t.eager)-maxEager)
 	}
 }
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,223 @@
+package peer_test
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"lavenderdeal/internal/secret"
+	"lavenderdeal/io/peer"
+	"lavenderdeal/schema/messages"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	keyText = "peer-test-key-0123456789"
+	limit   = 10 * time.Second
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+func listen(t *testing.T, key string, mux *peer.Mux) *peer.Endpoint {
+	t.Helper()
+	e, err := peer.Listen(loopback, secret.New(key), mux)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.Close() })
+	return e
+}
+
+func echoMux() *peer.Mux {
+	var mux peer.Mux
+	peer.Handle(&mux, "echo", func(_ context.Context, q messages.Gossip) (messages.Gossip, error) { return q, nil })
+	return &mux
+}
+
+func TestCall(t *testing.T) {
+	server, client := listen(t, keyText, echoMux()), listen(t, keyText, echoMux())
+	t.Run("short message", func(t *testing.T) { assertEcho(t, client, server.Addr(), "node-1") })
+	t.Run("long message is compressed", func(t *testing.T) {
+		before := client.Counts().BytesOut
+		assertEcho(t, client, server.Addr(), strings.Repeat("node-1", 10000))
+		if sent := client.Counts().BytesOut - before; sent > 6000 {
+			t.Fatalf("sent %d bytes for 60000 that repeat", sent)
+		}
+	})
+	t.Run("bytes are counted by method in both directions", func(t *testing.T) {
+		assertEcho(t, client, server.Addr(), "node-2")
+		assertCountsAddUp(t, client)
+		assertCountsAddUp(t, server)
+	})
+	t.Run("unknown method", func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		if _, err := peer.Call[messages.Gossip](ctx, client, server.Addr(), "other", messages.Gossip{}); err == nil {
+			t.Fatal("no error")
+		}
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	t.Run("wrong key", func(t *testing.T) {
+		server, client := listen(t, keyText, echoMux()), listen(t, "another-key-0123456789", echoMux())
+		assertNoEcho(t, client, server.Addr())
+		waitFor(t, "a refused key", func() bool { return server.Counts().KeyRefused == 1 })
+	})
+	t.Run("no hello", func(t *testing.T) {
+		server := listen(t, keyText, echoMux())
+		conn := dial(t, server.Addr())
+		write(t, conn, frame("not a hello"))
+		assertClosed(t, conn)
+		waitFor(t, "a malformed message", func() bool { return server.Counts().Malformed == 1 })
+	})
+	t.Run("hello too long", func(t *testing.T) {
+		server := listen(t, keyText, echoMux())
+		conn := dial(t, server.Addr())
+		write(t, conn, binary.BigEndian.AppendUint32(nil, 1<<20))
+		assertClosed(t, conn)
+		waitFor(t, "a malformed message", func() bool { return server.Counts().Malformed == 1 })
+	})
+	t.Run("wrong type of parameters", func(t *testing.T) {
+		server, client := listen(t, keyText, echoMux()), listen(t, keyText, echoMux())
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		if _, err := peer.Call[messages.Gossip](ctx, client, server.Addr(), "echo", []int{1}); err == nil {
+			t.Fatal("no error")
+		}
+		waitFor(t, "a malformed message", func() bool { return server.Counts().Malformed == 1 })
+		assertEcho(t, client, server.Addr(), "the connection stays")
+	})
+	t.Run("method names of others do not fill the counts", func(t *testing.T) {
+		server, client := listen(t, keyText, echoMux()), listen(t, keyText, echoMux())
+		for i := range 10 {
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			_, _ = peer.Call[messages.Gossip](ctx, client, server.Addr(), fmt.Sprint("other", i), messages.Gossip{})
+			cancel()
+		}
+		if n := len(server.Counts().ByMethod); n > 3 {
+			t.Fatalf("%d methods are counted", n)
+		}
+	})
+}
+
+// TestSlowPeer has one peer that accepts and never answers, and one that is
+// there.
+func TestSlowPeer(t *testing.T) {
+	silent, err := net.Listen("tcp", loopback.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	server, client := listen(t, keyText, echoMux()), listen(t, keyText, echoMux())
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	lost := make(chan error, 1)
+	t.Run("others", func(t *testing.T) {
+		t.Run("waiting for the silent one", func(t *testing.T) {
+			t.Parallel()
+			_, err := peer.Call[messages.Gossip](ctx, client, netip.MustParseAddrPort(silent.Addr().String()), "echo", messages.Gossip{})
+			lost <- err
+		})
+		t.Run("the other answers meanwhile", func(t *testing.T) {
+			t.Parallel()
+			for range 100 {
+				assertEcho(t, client, server.Addr(), "node-1")
+			}
+			if ctx.Err() != nil {
+				t.Fatal("100 answers came only after the silent peer was given up")
+			}
+		})
+	})
+	if err := <-lost; err == nil {
+		t.Fatal("the silent peer answered")
+	}
+}
+
+func TestClosedPeer(t *testing.T) {
+	server, client := listen(t, keyText, echoMux()), listen(t, keyText, echoMux())
+	assertEcho(t, client, server.Addr(), "node-1")
+	if err := server.Close(); err != nil {
+		t.Fatal(err)
+	}
+	assertNoEcho(t, client, server.Addr())
+}
+
+func assertEcho(t *testing.T, client *peer.Endpoint, to netip.AddrPort, text string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	answer, err := peer.Call[messages.Gossip](ctx, client, to, "echo", messages.Gossip{From: text})
+	if err != nil || answer.From != text {
+		t.Fatalf("got %d bytes, %v, want %d bytes", len(answer.From), err, len(text))
+	}
+}
+
+func assertNoEcho(t *testing.T, client *peer.Endpoint, to netip.AddrPort) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	if _, err := peer.Call[messages.Gossip](ctx, client, to, "echo", messages.Gossip{}); err == nil {
+		t.Fatal("the call was answered")
+	}
+}
+
+func assertCountsAddUp(t *testing.T, e *peer.Endpoint) {
+	t.Helper()
+	waitFor(t, "counts that add up", func() bool {
+		counts := e.Counts()
+		var in, out uint64
+		for _, n := range counts.ByMethod {
+			in += n.BytesIn
+			out += n.BytesOut
+		}
+		return in == counts.BytesIn && out == counts.BytesOut && counts.ByMethod["echo"].BytesIn > 0
+	})
+}
+
+func assertClosed(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(limit))
+	if _, err := io.Copy(io.Discard, conn); err != nil && strings.Contains(err.Error(), "timeout") {
+		t.Fatal("the connection stays open")
+	}
+}
+
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no %s after %s", what, limit)
+		}
+	}
+}
+
+func dial(t *testing.T, to netip.AddrPort) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", to.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func write(t *testing.T, conn net.Conn, data []byte) {
+	t.Helper()
+	if _, err := conn.Write(data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func frame(text string) []byte {
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(text))), text...)
+}
