cmd, border: operators' commands, and every fault with its line

plans show, diff, history, restore, watch and collect, status, explain and settings print, as text and as JSON; exit code 3 for a conflict and 4 for a time limit; flags go before LAVENDERDEAL_..., which goes before a file, for node too.

--- a/cmd/lavenderdeal/main.go
+++ b/cmd/lavenderdeal/main.go
@@ -24,6 +24,10 @@
 	exitFailed
 	// exitUsage says that the command line is wrong.
 	exitUsage
+	// exitConflict says that another change came first and nothing was changed.
+	exitConflict
+	// exitTimeLimit says that the time ran out before what was waited for.
+	exitTimeLimit
 )
 
 // exitError carries the exit code of a failed command.
@@ -74,6 +78,9 @@
 		Subcommands: []*ffcli.Command{
 			nodeCommand(stderr),
 			plansCommand(stdout, stderr),
+			statusCommand(stdout, stderr),
+			explainCommand(stdout, stderr),
+			settingsCommand(stdout, stderr),
 			demoCommand(stdout, stderr),
 			loadCommand(stdout, stderr),
 			measureCommand(stdout, stderr),
--- a/cmd/lavenderdeal/node.go
+++ b/cmd/lavenderdeal/node.go
@@ -4,43 +4,41 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"lavenderdeal/internal/node"
-	"lavenderdeal/io/settings"
+	"lavenderdeal/schema/settings"
 )
 
 func nodeCommand(stderr io.Writer) *ffcli.Command {
 	flags := newFlags("lavenderdeal node", stderr)
-	file := flags.String("config", "", "file with the settings (YAML)")
+	from := addSettingsFlags(flags)
 	return &ffcli.Command{
 		Name:       "node",
-		ShortUsage: "lavenderdeal node --config FILE",
+		ShortUsage: "lavenderdeal node --config FILE [flags]",
 		ShortHelp:  "run the node beside a backend server",
-		LongHelp:   "Example:\n  lavenderdeal node --config node.yaml\n\nSIGTERM and SIGINT stop the node without cutting off a call.",
-		FlagSet:    flags,
+		LongHelp: "Flags go before the environment (LAVENDERDEAL_ZONE for --zone), which goes before the file.\n\n" +
+			"Example:\n  lavenderdeal node --config node.yaml\n\n" +
+			"SIGTERM and SIGINT stop the node without cutting off a call.\n" +
+			"Exits with 0 after a graceful shutdown, 1 when it could not start or calls were cut off, 2 when the command line is wrong.",
+		FlagSet: flags,
+		Options: settingsOptions(),
 		Exec: func(ctx context.Context, args []string) error {
-			if *file == "" || len(args) > 0 {
-				return usageError("node needs --config FILE and nothing else")
+			if err := noArguments(args); err != nil {
+				return err
 			}
-			return runNode(ctx, *file, stderr)
+			cfg, err := from.read()
+			if err != nil {
+				return err
+			}
+			return runNode(ctx, cfg, stderr)
 		},
 	}
 }
 
-func runNode(ctx context.Context, file string, stderr io.Writer) error {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return err
-	}
-	cfg, err := settings.Decode(data)
-	if err != nil {
-		return errors.Newf("%s:\n%v", file, err)
-	}
+func runNode(ctx context.Context, cfg settings.Settings, stderr io.Writer) error {
 	log.SetLevelFromString(string(cfg.LogLevel))
 	n, err := node.Start(cfg)
 	if err != nil {
--- a/cmd/lavenderdeal/plans.go
+++ b/cmd/lavenderdeal/plans.go
@@ -4,20 +4,20 @@
 	"context"
 	"fmt"
 	"io"
-	"net/netip"
-	"os"
 	"os/user"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"lavenderdeal/core/plans"
-	"lavenderdeal/internal/border"
+	"lavenderdeal/core/listdiff"
 	"lavenderdeal/internal/publish"
-	"lavenderdeal/io/platform"
-	"lavenderdeal/schema/lists"
+	"lavenderdeal/schema/objects"
 )
 
+// maxPrintedChanges is how many differences a message lists.
+const maxPrintedChanges = 50
+
 func plansCommand(stdout, stderr io.Writer) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "plans",
@@ -29,98 +29,245 @@
 		Subcommands: []*ffcli.Command{
 			plansCheckCommand(stdout, stderr),
 			plansApplyCommand(stdout, stderr),
+			plansShowCommand(stdout, stderr),
+			plansDiffCommand(stdout, stderr),
+			plansHistoryCommand(stdout, stderr),
+			plansRestoreCommand(stdout, stderr),
+			plansWatchCommand(stdout, stderr),
+			plansCollectCommand(stdout, stderr),
 		},
 	}
 }
 
 func plansCheckCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := newOperatorFlags("lavenderdeal plans check", stderr)
+	form := addOutputFlag(flags)
 	return &ffcli.Command{
 		Name:       "check",
-		ShortUsage: "lavenderdeal plans check CUSTOMERS-FILE PLANS-FILE",
-		ShortHelp:  "validate the two lists without the platform",
-		LongHelp:   "Example:\n  lavenderdeal plans check customers.yaml plans.yaml",
-		FlagSet:    newFlags("lavenderdeal plans check", stderr),
+		ShortUsage: "lavenderdeal plans check FILE...",
+		ShortHelp:  "validate the lists without the platform",
+		LongHelp: "Checks the list of customers, the list of plans, or both together, and names every fault with its line and field.\n\n" +
+			"Example:\n  lavenderdeal plans check customers.yaml plans.yaml\n\n" +
+			"Exits with 0 when there is no fault, 1 when there is one, 2 when the command line is wrong.",
+		FlagSet: flags,
+		Options: operatorOptions(),
 		Exec: func(_ context.Context, args []string) error {
-			if _, _, err := readLists(args); err != nil {
+			files, err := checkLists(args)
+			if err != nil {
 				return err
 			}
-			fmt.Fprintln(stdout, "both lists are valid")
+			if *form == outputJSON {
+				if err := printJSON(stdout, checkResult{Valid: len(files.faults) == 0, Faults: files.faults}); err != nil {
+					return err
+				}
+			}
+			if err := files.err(); err != nil {
+				return err
+			}
+			if *form == outputText {
+				fmt.Fprintf(stdout, "no fault in %d customers, %d plans and %d services\n",
+					len(files.lists.Customers.Customers), len(files.lists.Plans.Plans), len(files.lists.Plans.Services))
+			}
 			return nil
 		},
 	}
 }
 
+type checkResult struct {
+	Valid  bool        `json:"valid"`
+	Faults []listFault `json:"faults,omitempty"`
+}
+
 func plansApplyCommand(stdout, stderr io.Writer) *ffcli.Command {
-	flags := newFlags("lavenderdeal plans apply", stderr)
-	address := flags.String("platform", "", "address and port of the platform's object API")
-	token := flags.String("token", "", "bearer token for the platform")
+	flags := newOperatorFlags("lavenderdeal plans apply", stderr)
+	where := addPlatformFlags(flags)
+	form := addOutputFlag(flags)
+	after := flags.Uint64("after", 0, "apply only if this `version` is the newest; without it, whichever is")
 	reason := flags.String("reason", "", "why the lists change")
 	return &ffcli.Command{
 		Name:       "apply",
-		ShortUsage: "lavenderdeal plans apply --platform ADDRESS CUSTOMERS-FILE PLANS-FILE",
+		ShortUsage: "lavenderdeal plans apply [flags] CUSTOMERS-FILE PLANS-FILE",
 		ShortHelp:  "make the two lists the newest version",
-		LongHelp:   "Example:\n  lavenderdeal plans apply --platform 127.0.0.1:7000 customers.yaml plans.yaml",
-		FlagSet:    flags,
+		LongHelp: "The lists are checked first; a list with a fault changes nothing.\n\n" +
+			"Example:\n  lavenderdeal plans apply --platform 127.0.0.1:7000 --after 7 --reason \"crew may use fieldwork\" customers.yaml plans.yaml\n\n" +
+			"Exits with 0 when done, 1 when not (the message says whether it may be yet), 2 when the command line is wrong,\n" +
+			"3 when another change came first: then nothing was changed, and the message says who won and what differs.",
+		FlagSet: flags,
+		Options: operatorOptions(),
 		Exec: func(ctx context.Context, args []string) error {
-			addr, err := netip.ParseAddrPort(*address)
-			if err != nil {
-				return usageError("--platform: %v", err)
-			}
-			customers, planList, err := readLists(args)
+			content, err := readLists(args)
 			if err != nil {
 				return err
 			}
-			store := publish.Store{Objects: platform.New(addr, platform.WithToken(*token))}
-			current, err := store.Current(ctx)
+			c := change{where: where, after: *after, form: *form, mine: &content, stdout: stdout, stderr: stderr}
+			return c.run(ctx, func(store publish.Store, current publish.Current) (objects.Head, error) {
+				return store.Apply(ctx, current, content.Customers, content.Plans, publish.Change{Author: author(), Reason: *reason})
+			})
+		},
+	}
+}
+
+func plansRestoreCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := newOperatorFlags("lavenderdeal plans restore", stderr)
+	where := addPlatformFlags(flags)
+	form := addOutputFlag(flags)
+	after := flags.Uint64("after", 0, "restore only if this `version` is the newest; without it, whichever is")
+	reason := flags.String("reason", "", "why the lists change")
+	return &ffcli.Command{
+		Name:       "restore",
+		ShortUsage: "lavenderdeal plans restore [flags] VERSION",
+		ShortHelp:  "make a new version with the content of an old one",
+		LongHelp: "Versions only rise: the old content gets a new number.\n\n" +
+			"Example:\n  lavenderdeal plans restore --platform 127.0.0.1:7000 --reason \"undo 8\" 7\n\nExits as plans apply does.",
+		FlagSet: flags,
+		Options: operatorOptions(),
+		Exec: func(ctx context.Context, args []string) error {
+			version, err := versionArgument(args)
 			if err != nil {
 				return err
 			}
-			head, err := store.Apply(ctx, current, customers, planList, publish.Change{Author: author(), Reason: *reason})
-			if err != nil {
-				return err
+			if *reason == "" {
+				*reason = fmt.Sprintf("content of version %d", version)
 			}
-			fmt.Fprintf(stdout, "version %d\n", head.Version)
-			return nil
+			c := change{where: where, after: *after, form: *form, stdout: stdout, stderr: stderr}
+			return c.run(ctx, func(store publish.Store, current publish.Current) (objects.Head, error) {
+				return store.Restore(ctx, current, version, publish.Change{Author: author(), Reason: *reason})
+			})
 		},
 	}
 }
 
-// readLists reads and checks both lists. The error names every fault.
-func readLists(files []string) (lists.CustomerList, lists.PlanList, error) {
-	var customers lists.CustomerList
-	var planList lists.PlanList
-	if len(files) != 2 {
-		return customers, planList, usageError("want two files, the list of customers and the list of plans")
-	}
-	customerData, err := os.ReadFile(files[0])
+// change is one change of the plans as the command line asks for it.
+type change struct {
+	where *platformFlags
+	// after is the version that must be the newest, or 0.
+	after uint64
+	form  output
+	// mine is the wanted content, to be compared with that of a winner; nil when
+	// it is not known.
+	mine           *listdiff.Lists
+	stdout, stderr io.Writer
+}
+
+// run makes the change on top of what the platform holds and reports it.
+func (c change) run(ctx context.Context, do func(publish.Store, publish.Current) (objects.Head, error)) error {
+	store, closeStore, err := c.where.store()
 	if err != nil {
-		return customers, planList, err
+		return err
 	}
-	planData, err := os.ReadFile(files[1])
-	if err != nil {
-		return customers, planList, err
+	defer closeStore()
+	head, err := c.try(ctx, store, do)
+	var superseded *publish.SupersededError
+	var conflict *publish.ConflictError
+	switch {
+	case errors.As(err, &superseded):
+		fmt.Fprintln(c.stderr, "lavenderdeal:", err)
+	case errors.As(err, &conflict):
+		return &exitError{code: exitConflict, err: c.withDifference(ctx, store, conflict)}
+	case err != nil:
+		return err
+	}
+	if report := store.CollectWhenDue(ctx); report.Err != nil {
+		fmt.Fprintln(c.stderr, "lavenderdeal: old chunks were not removed this time:", report.Err)
 	}
-	customers, err = publish.DecodeCustomers(customerData)
+	return printHead(c.stdout, c.form, head)
+}
+
+func (c change) try(ctx context.Context, store publish.Store, do func(publish.Store, publish.Current) (objects.Head, error)) (objects.Head, error) {
+	current, err := store.Current(ctx)
 	if err != nil {
-		return customers, planList, errors.Newf("%s:\n%v", files[0], err)
+		return objects.Head{}, err
+	}
+	if c.after != 0 && current.Head.Version != c.after {
+		return objects.Head{}, &publish.ConflictError{Winner: winner(current)}
+	}
+	if current.WentBack != "" {
+		fmt.Fprintf(c.stderr, "lavenderdeal: the platform seems to have been restored from a backup: %s; the new version goes above %d\n", current.WentBack, current.Highest)
+	}
+	return do(store, current)
+}
+
+func winner(current publish.Current) *objects.Head {
+	if current.Revision == 0 {
+		return nil
 	}
-	planList, err = publish.DecodePlans(planData)
+	return &current.Head
+}
+
+// withDifference adds to a conflict what differs between the winner and the
+// wanted content.
+func (c change) withDifference(ctx context.Context, store publish.Store, conflict *publish.ConflictError) error {
+	if conflict.Winner == nil || c.mine == nil {
+		return conflict
+	}
+	theirs, err := loadLists(ctx, store, *conflict.Winner)
 	if err != nil {
-		return customers, planList, errors.Newf("%s:\n%v", files[1], err)
-	}
-	_, faults := plans.Build(1, customers, planList)
-	text := ""
-	for _, fault := range faults {
-		file, data := files[0], customerData
-		if fault.List == "plans" {
-			file, data = files[1], planData
+		return errors.Newf("%w\nwhat differs is not known: %v", conflict, err)
+	}
+	text := "from the winner to your lists:"
+	for i, difference := range listdiff.Compare(theirs, *c.mine) {
+		if i == maxPrintedChanges {
+			text += "\n  and more; see plans diff"
+			break
 		}
-		text += fmt.Sprintf("%s: line %d: %s: %s\n", file, border.Line(data, fault.Field), fault.Field, fault.Message)
+		text += "\n  " + difference.String()
+	}
+	return errors.Newf("%w\n%s", conflict, text)
+}
+
+func loadLists(ctx context.Context, store publish.Store, head objects.Head) (listdiff.Lists, error) {
+	customers, planList, err := store.Load(ctx, head)
+	return listdiff.Lists{Customers: customers, Plans: planList}, err
+}
+
+func plansCollectCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := newOperatorFlags("lavenderdeal plans collect", stderr)
+	where := addPlatformFlags(flags)
+	form := addOutputFlag(flags)
+	return &ffcli.Command{
+		Name:       "collect",
+		ShortUsage: "lavenderdeal plans collect [flags]",
+		ShortHelp:  "remove chunks that no kept version names",
+		LongHelp: "Keeps the newest 200 versions. plans apply and plans restore do this by themselves from time to time.\n\n" +
+			"Example:\n  lavenderdeal plans collect --platform 127.0.0.1:7000\n\nExits with 0 when done, 1 when it ended early; it is safe to run again.",
+		FlagSet: flags,
+		Options: operatorOptions(),
+		Exec: where.exec(func(ctx context.Context, store publish.Store) error {
+			report := store.Collect(ctx)
+			if *form == outputJSON {
+				if err := printJSON(stdout, collectResult{Chunks: report.Chunks, Versions: report.Copies, Kept: report.Kept}); err != nil {
+					return err
+				}
+				return report.Err
+			}
+			fmt.Fprintf(stdout, "%d chunks and %d old versions removed, %d chunks kept\n", report.Chunks, report.Copies, report.Kept)
+			return report.Err
+		}),
 	}
-	if len(faults) > 0 {
-		return customers, planList, errors.Newf("%d faults\n%s", len(faults), text)
+}
+
+type collectResult struct {
+	Chunks   int `json:"chunksRemoved"`
+	Versions int `json:"versionsRemoved"`
+	Kept     int `json:"chunksKept"`
+}
+
+func versionArgument(args []string) (uint64, error) {
+	if len(args) != 1 {
+		return 0, usageError("want one version")
+	}
+	version, err := strconv.ParseUint(args[0], 10, 64)
+	if err != nil || version == 0 {
+		return 0, usageError("version %q: want a number from 1", args[0])
+	}
+	return version, nil
+}
+
+func noArguments(args []string) error {
+	if len(args) > 0 {
+		return usageError("unexpected %q", args[0])
 	}
-	return customers, planList, nil
+	return nil
 }
 
 func author() string {
--- /dev/null
+++ b/cmd/lavenderdeal/settings.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"lavenderdeal/internal/border"
+	"lavenderdeal/io/settings"
+	schema "lavenderdeal/schema/settings"
+)
+
+// settingFlag is a flag that goes before a field of the settings file.
+type settingFlag struct {
+	name, field, usage string
+	number             bool
+}
+
+var settingFlags = []settingFlag{
+	{name: "zone", field: "zone", usage: "availability `zone` of this instance"},
+	{name: "region", field: "region", usage: "`region` of the availability zone"},
+	{name: "service", field: "service", usage: "`service` that the backend server runs"},
+	{name: "server-address", field: "server.address", usage: "`address` and port of the backend server"},
+	{name: "server-slots", field: "server.slots", usage: "`calls` that the backend server runs at once", number: true},
+	{name: "server-connections", field: "server.connections", usage: "`connections` that the backend server accepts", number: true},
+	{name: "listen-caller", field: "listen.caller", usage: "`address` and port for callers"},
+	{name: "listen-peer", field: "listen.peer", usage: "`address` and port for control between nodes"},
+	{name: "listen-call", field: "listen.call", usage: "`address` and port for calls between nodes"},
+	{name: "listen-operator", field: "listen.operator", usage: "`address` and port for operators"},
+	{name: "platform", field: "platform.address", usage: "`address` and port of the platform's object API"},
+	{name: "token", field: "platform.token", usage: "bearer `token` for the platform; better in the environment"},
+	{name: "platform-timeout", field: "platform.timeout", usage: "`time` after which a request to the platform is given up"},
+	{name: "peer-key", field: "peerKey", usage: "`key` that nodes prove to each other; better in the environment"},
+	{name: "operator-key", field: "operatorKey", usage: "`key` for writes on the operator port; better in the environment"},
+	{name: "log-level", field: "logLevel", usage: "lowest `level` that is logged"},
+}
+
+// settingsFlags reads the settings of a node from a file, the environment and
+// the command line; what comes later goes first.
+type settingsFlags struct {
+	flags *flag.FlagSet
+	file  *string
+}
+
+func addSettingsFlags(flags *flag.FlagSet) *settingsFlags {
+	s := &settingsFlags{flags: flags, file: flags.String("config", "", "`file` with the settings (YAML)")}
+	for _, f := range settingFlags {
+		flags.String(f.name, "", f.usage)
+	}
+	return s
+}
+
+// settingsOptions make a command take its flags from the command line and then
+// from the environment.
+func settingsOptions() []ff.Option {
+	return []ff.Option{ff.WithEnvVarPrefix(environmentPrefix)}
+}
+
+// read returns the settings in force, or every fault in them.
+func (s *settingsFlags) read() (schema.Settings, error) {
+	if *s.file == "" {
+		return schema.Settings{}, usageError("--config FILE or LAVENDERDEAL_CONFIG is needed")
+	}
+	data, err := os.ReadFile(*s.file)
+	if err != nil {
+		return schema.Settings{}, err
+	}
+	overrides, err := s.overrides()
+	if err != nil {
+		return schema.Settings{}, err
+	}
+	cfg, err := settings.DecodeWith(data, overrides)
+	if err != nil {
+		return schema.Settings{}, errors.Newf("%s:\n%v", *s.file, err)
+	}
+	return cfg, nil
+}
+
+func (s *settingsFlags) overrides() ([]border.Override, error) {
+	var overrides []border.Override
+	for _, f := range settingFlags {
+		text := s.flags.Lookup(f.name).Value.String()
+		if text == "" {
+			continue
+		}
+		override := border.Override{Field: f.field, Value: text}
+		if f.number {
+			n, err := strconv.Atoi(text)
+			if err != nil {
+				return nil, usageError("--%s %q: want a number", f.name, text)
+			}
+			override.Value = n
+		}
+		overrides = append(overrides, override)
+	}
+	return overrides, nil
+}
+
+func settingsCommand(stdout, stderr io.Writer) *ffcli.Command {
+	return &ffcli.Command{
+		Name:        "settings",
+		ShortUsage:  "lavenderdeal settings COMMAND [flags]",
+		ShortHelp:   "show the settings of a node",
+		LongHelp:    "Example:\n  lavenderdeal settings print --config node.yaml",
+		FlagSet:     newFlags("lavenderdeal settings", stderr),
+		Exec:        needSubcommand,
+		Subcommands: []*ffcli.Command{settingsPrintCommand(stdout, stderr)},
+	}
+}
+
+func settingsPrintCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := newFlags("lavenderdeal settings print", stderr)
+	from := addSettingsFlags(flags)
+	form := addOutputFlag(flags)
+	return &ffcli.Command{
+		Name:       "print",
+		ShortUsage: "lavenderdeal settings print --config FILE [flags]",
+		ShortHelp:  "print the settings in force, without keys",
+		LongHelp: "Takes the file, then LAVENDERDEAL_... from the environment, then the flags, fills in the defaults and checks all of it.\n\n" +
+			"Example:\n  LAVENDERDEAL_ZONE=palermo lavenderdeal settings print --config node.yaml --server-slots 12\n\n" +
+			"Exits with 0 when the settings are valid, 1 when they have a fault, 2 when the command line is wrong.",
+		FlagSet: flags,
+		Options: settingsOptions(),
+		Exec: func(_ context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			cfg, err := from.read()
+			if err != nil {
+				return err
+			}
+			if *form == outputJSON {
+				return printJSON(stdout, settings.Hide(cfg))
+			}
+			return printYAML(stdout, settings.Hide(cfg))
+		},
+	}
+}
--- a/internal/border/border.go
+++ b/internal/border/border.go
@@ -20,32 +20,12 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
-	"sort"
-	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
-	"github.com/santhosh-tekuri/jsonschema/v6/kind"
-	"go.yaml.in/yaml/v3"
-	"golang.org/x/text/language"
-	"golang.org/x/text/message"
 )
 
-// Fault is one thing wrong with a document.
-type Fault struct {
-	// Field is the path to the value, such as "plans[2].uses[0].service".
-	Field string
-	// Line is the line in the document, counted from 1, or 0 when unknown.
-	Line int
-	// Message says what is wrong.
-	Message string
-}
-
-// Faults is the error that Decode returns: every fault of one document.
-type Faults []Fault
-
 // Decoder decodes documents of one type. It is safe for use by several
 // goroutines at once.
 type Decoder[T any] struct {
@@ -66,6 +46,7 @@
 		return nil, errors.New("schema is not an object")
 	}
 	compiler := jsonschema.NewCompiler()
+	registerFormats(compiler)
 	if err := compiler.AddResource("schema.json", root); err != nil {
 		return nil, errors.Wrap(err, "add schema")
 	}
@@ -91,13 +72,30 @@
 	return decoder
 }
 
+// Override is a value that goes before that of a document.
+type Override struct {
+	// Field is the path of the field, such as "platform.address".
+	Field string
+	// Value is a string or an int.
+	Value any
+}
+
 // Decode reads one YAML or JSON document. The error is of type [Faults].
 func (d *Decoder[T]) Decode(data []byte) (T, error) {
+	return d.DecodeWith(data, nil)
+}
+
+// DecodeWith is like Decode and puts the overrides into the document before it
+// is checked.
+func (d *Decoder[T]) DecodeWith(data []byte, overrides []Override) (T, error) {
 	var value T
 	document, node, err := parse(data)
 	if err != nil {
 		return value, err
 	}
+	for _, o := range overrides {
+		override(document, strings.Split(o.Field, "."), o.Value)
+	}
 	document = fillDefaults(d.root, d.start, document)
 	if err := d.schema.Validate(document); err != nil {
 		return value, faultsOf(err, node)
@@ -112,39 +110,21 @@
 	return value, nil
 }
 
-func parse(data []byte) (any, *yaml.Node, error) {
-	if len(bytes.TrimSpace(data)) == 0 {
-		return nil, nil, Faults{{Message: "the document is empty"}}
-	}
-	if bytes.HasPrefix(bytes.TrimSpace(data), []byte("{")) {
-		// JSON is read by its own decoder, which is far faster than YAML's.
-		document, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
-		if err == nil {
-			return document, nil, nil
-		}
-	}
-	decoder := yaml.NewDecoder(bytes.NewReader(data))
-	var node yaml.Node
-	if err := decoder.Decode(&node); err != nil {
-		return nil, nil, Faults{{Message: err.Error()}}
-	}
-	var extra yaml.Node
-	if err := decoder.Decode(&extra); err == nil {
-		return nil, nil, Faults{{Line: extra.Line, Message: "more than one document"}}
-	}
-	var document any
-	if err := node.Decode(&document); err != nil {
-		return nil, nil, Faults{{Message: err.Error()}}
+// override sets a field of a document. Where the document has something else than
+// an object on the way, it stays as it is, for the check to report.
+func override(document any, path []string, value any) {
+	object, ok := document.(map[string]any)
+	if !ok {
+		return
 	}
-	text, err := json.Marshal(document)
-	if err != nil {
-		return nil, nil, Faults{{Message: "keys must be strings: " + err.Error()}}
+	if len(path) == 1 {
+		object[path[0]] = value
+		return
 	}
-	document, err = jsonschema.UnmarshalJSON(bytes.NewReader(text))
-	if err != nil {
-		return nil, nil, Faults{{Message: err.Error()}}
+	if _, found := object[path[0]]; !found {
+		object[path[0]] = map[string]any{}
 	}
-	return document, &node, nil
+	override(object[path[0]], path[1:], value)
 }
 
 // fillDefaults adds the schema's defaults to the value. A missing object whose
@@ -203,130 +183,3 @@
 	}
 	return target
 }
-
-func faultsOf(err error, node *yaml.Node) error {
-	var invalid *jsonschema.ValidationError
-	if !errors.As(err, &invalid) {
-		return Faults{{Message: err.Error()}}
-	}
-	var faults Faults
-	printer := message.NewPrinter(language.English)
-	collect(invalid, func(leaf *jsonschema.ValidationError) {
-		location := leaf.InstanceLocation
-		text := leaf.ErrorKind.LocalizedString(printer)
-		if extra, ok := leaf.ErrorKind.(*kind.AdditionalProperties); ok {
-			for _, name := range extra.Properties {
-				at := append(append([]string{}, location...), name)
-				faults = append(faults, Fault{Field: fieldOf(at), Line: lineOf(node, at), Message: "unknown field"})
-			}
-			return
-		}
-		faults = append(faults, Fault{Field: fieldOf(location), Line: lineOf(node, location), Message: text})
-	})
-	sort.SliceStable(faults, func(i, j int) bool {
-		if faults[i].Line != faults[j].Line {
-			return faults[i].Line < faults[j].Line
-		}
-		return faults[i].Field < faults[j].Field
-	})
-	return faults
-}
-
-func collect(err *jsonschema.ValidationError, add func(*jsonschema.ValidationError)) {
-	if len(err.Causes) == 0 {
-		add(err)
-		return
-	}
-	for _, cause := range err.Causes {
-		collect(cause, add)
-	}
-}
-
-func typeFault(err error, node *yaml.Node) Fault {
-	var wrongType *json.UnmarshalTypeError
-	if errors.As(err, &wrongType) {
-		at := strings.Split(wrongType.Field, ".")
-		return Fault{Field: wrongType.Field, Line: lineOf(node, at), Message: err.Error()}
-	}
-	return Fault{Message: err.Error()}
-}
-
-func fieldOf(location []string) string {
-	var b strings.Builder
-	for _, part := range location {
-		if _, err := strconv.Atoi(part); err == nil {
-			b.WriteString("[" + part + "]")
-			continue
-		}
-		if b.Len() > 0 {
-			b.WriteByte('.')
-		}
-		b.WriteString(part)
-	}
-	return b.String()
-}
-
-// Line returns the line of a field such as "plans[2].name" in a YAML document,
-// or 0 when the document has no such field.
-func Line(data []byte, field string) int {
-	var node yaml.Node
-	if err := yaml.Unmarshal(data, &node); err != nil {
-		return 0
-	}
-	field = strings.NewReplacer("[", ".", "]", "").Replace(field)
-	return lineOf(&node, strings.Split(field, "."))
-}
-
-func lineOf(node *yaml.Node, location []string) int {
-	if node == nil {
-		return 0
-	}
-	if node.Kind == yaml.DocumentNode && len(node.Content) == 1 {
-		node = node.Content[0]
-	}
-	line := node.Line
-	for _, part := range location {
-		next := child(node, part)
-		if next == nil {
-			return line
-		}
-		node, line = next, next.Line
-	}
-	return line
-}
-
-func child(node *yaml.Node, part string) *yaml.Node {
-	switch node.Kind {
-	case yaml.MappingNode:
-		for i := 0; i+1 < len(node.Content); i += 2 {
-			if node.Content[i].Value == part {
-				return node.Content[i+1]
-			}
-		}
-	case yaml.SequenceNode:
-		i, err := strconv.Atoi(part)
-		if err == nil && i >= 0 && i < len(node.Content) {
-			return node.Content[i]
-		}
-	}
-	return nil
-}
-
-func (f Fault) String() string {
-	var parts []string
-	if f.Line > 0 {
-		parts = append(parts, fmt.Sprintf("line %d", f.Line))
-	}
-	if f.Field != "" {
-		parts = append(parts, f.Field)
-	}
-	return strings.Join(append(parts, f.Message), ": ")
-}
-
-func (f Faults) Error() string {
-	lines := make([]string, 0, len(f))
-	for _, fault := range f {
-		lines = append(lines, fault.String())
-	}
-	return strings.Join(lines, "\n")
-}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -19,6 +19,11 @@
 // border.Faults.
 func Decode(data []byte) (schema.Settings, error) { return decoder.Decode(data) }
 
+// DecodeWith is like Decode; the overrides go before the file.
+func DecodeWith(data []byte, overrides []border.Override) (schema.Settings, error) {
+	return decoder.DecodeWith(data, overrides)
+}
+
 // Hide returns the settings without their keys.
 func Hide(cfg schema.Settings) schema.Settings {
 	for _, key := range []*string{&cfg.PeerKey, &cfg.OperatorKey, &cfg.Platform.Token} {
