platform: page listings, tell apart what surely did not run; stand-in: limits, behind

A connection that never came about, a rate limit and a cancelled context are NotRun; broken, short, huge or unnumbered answers are MayHaveRun. Listings are read in pages of 1000.

--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -149,6 +149,17 @@
 			t.Errorf("error %v, want one that says that the change was not made", err)
 		}
 	})
+	t.Run("rate limit of the platform", func(t *testing.T) {
+		api, store := start(t)
+		c := current(t, store)
+		api.SetLimits(objectapi.Limits{WritesPerSecond: 50})
+		if _, err := store.Apply(t.Context(), c, customersOf(20_000), planList(), change); err != nil {
+			t.Errorf("error %v, want the writes to be tried again", err)
+		}
+		if api.Counts().Refused == 0 {
+			t.Error("the limit refused nothing")
+		}
+	})
 	t.Run("time limit after the head was sent", func(t *testing.T) {
 		api, store := start(t)
 		c := current(t, store)
--- a/internal/standin/objectapi/objectapi.go
+++ b/internal/standin/objectapi/objectapi.go
@@ -1,13 +1,17 @@
 // Package objectapi is a small stand-in for the platform's object API, for
 // tests, the demo and measurements. It keeps its objects in memory.
 //
-// # Faults
-//
-// A [Store] can be made slow, unreachable or behind, and can lose the answer to
-// a write after the write took effect:
+// # Use
 //
 //	store := objectapi.New()
 //	http.ListenAndServe(addr, store)
+//
+// # Limits and faults
+//
+// [Limits] bound the rates and the size of a value. [Faults] make the store slow,
+// unreachable or behind, or lose the answer to a write after it took effect:
+//
+//	store.SetLimits(objectapi.Limits{ReadsPerSecond: 2000, WritesPerSecond: 300})
 //	store.SetFaults(objectapi.Faults{Down: true})
 package objectapi
 
@@ -16,6 +20,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -27,6 +32,11 @@
 	keyPath  = "/v1/objects/"
 	maxValue = 1 << 20
 	maxWait  = 60 * time.Second
+	// maxPage is how many rows a listing has at most.
+	maxPage = 1000
+	// headerNext names the key after which the next page of a listing begins. It
+	// is missing on the last page.
+	headerNext = "Next-After"
 )
 
 // Store is the stand-in. Lock order: mu is the only lock.
@@ -37,22 +47,17 @@
 	changed  chan struct{}
 	faults   Faults
 	counts   Counts
-}
-
-// Faults is what goes wrong.
-type Faults struct {
-	// Down breaks every connection.
-	Down bool
-	// Delay holds every answer back.
-	Delay time.Duration
-	// LoseAnswers is the number of writes that take effect and whose answers
-	// are lost.
-	LoseAnswers int
+	// behind is what reads see while the store is behind, or nil.
+	behind        map[string]object
+	limits        Limits
+	reads, writes bucket
 }
 
 // Counts is what the store was asked. A watch counts as one read.
 type Counts struct {
-	Reads, Writes, Conflicts, Refused uint64
+	Reads, Writes, Conflicts uint64
+	// Refused is how many requests a limit refused.
+	Refused uint64
 	// BytesOut is the sum of the values that were read.
 	BytesOut uint64
 }
@@ -68,17 +73,6 @@
 	return &Store{objects: make(map[string]object), changed: make(chan struct{})}
 }
 
-// SetFaults replaces the faults.
-func (s *Store) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-	if f.Down {
-		// Waiting watches break too.
-		s.wake()
-	}
-}
-
 // Counts returns what the store was asked until now.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
@@ -112,36 +106,48 @@
 
 // ServeHTTP answers requests to the object API.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	faults := s.faults
-	s.mu.Unlock()
-	if faults.Down {
-		panic(http.ErrAbortHandler)
-	}
-	if faults.Delay > 0 {
-		select {
-		case <-time.After(faults.Delay):
-		case <-r.Context().Done():
-			return
-		}
+	if !s.holdBack(r) {
+		return
 	}
 	key, ok := strings.CutPrefix(r.URL.Path, keyPath)
 	if !ok {
 		http.NotFound(w, r)
 		return
 	}
+	switch r.Method {
+	case http.MethodGet:
+		if s.admit(w, &s.reads, &s.counts.Reads) {
+			s.read(w, r, key)
+		}
+	case http.MethodPut, http.MethodDelete:
+		if s.admit(w, &s.writes, &s.counts.Writes) {
+			s.write(w, r, key)
+		}
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request, key string) {
 	switch {
-	case r.Method == http.MethodGet && key == "":
+	case key == "":
 		s.list(w, r)
-	case r.Method == http.MethodGet && r.URL.Query().Get("watch") != "":
+	case r.URL.Query().Get("watch") != "":
 		s.watch(w, r, key)
-	case r.Method == http.MethodGet:
-		s.get(w, key)
-	case r.Method == http.MethodPut || r.Method == http.MethodDelete:
-		s.write(w, r, key)
 	default:
-		w.WriteHeader(http.StatusMethodNotAllowed)
+		s.mu.Lock()
+		o, ok := s.visible()[key]
+		s.mu.Unlock()
+		s.answer(w, o, ok)
+	}
+}
+
+// visible returns the objects that reads see. The caller holds mu.
+func (s *Store) visible() map[string]object {
+	if s.behind != nil {
+		return s.behind
 	}
+	return s.objects
 }
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
@@ -150,39 +156,35 @@
 		Revision   uint64  `json:"revision"`
 		AgeSeconds float64 `json:"ageSeconds"`
 	}
-	prefix := r.URL.Query().Get("prefix")
+	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit < 1 || limit > maxPage {
+		limit = maxPage
+	}
 	entries := []entry{}
 	s.mu.Lock()
-	s.counts.Reads++
-	for key, o := range s.objects {
-		if strings.HasPrefix(key, prefix) {
+	for key, o := range s.visible() {
+		if strings.HasPrefix(key, prefix) && key > after {
 			entries = append(entries, entry{key, o.revision, time.Since(o.written).Seconds()})
 		}
 	}
 	s.mu.Unlock()
 	slices.SortFunc(entries, func(a, b entry) int { return strings.Compare(a.Key, b.Key) })
+	if len(entries) > limit {
+		entries = entries[:limit]
+		w.Header().Set(headerNext, url.QueryEscape(entries[limit-1].Key))
+	}
 	_ = json.NewEncoder(w).Encode(entries)
 }
 
-func (s *Store) get(w http.ResponseWriter, key string) {
-	s.mu.Lock()
-	s.counts.Reads++
-	o, ok := s.objects[key]
-	s.mu.Unlock()
-	s.answer(w, o, ok)
-}
-
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, key string) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
 	timer := time.NewTimer(min(wait, maxWait))
 	defer timer.Stop()
-	s.mu.Lock()
-	s.counts.Reads++
-	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		o, ok := s.objects[key]
+		o, ok := s.visible()[key]
 		changed, down := s.changed, s.faults.Down
 		s.mu.Unlock()
 		if down {
@@ -216,14 +218,17 @@
 }
 
 func (s *Store) write(w http.ResponseWriter, r *http.Request, key string) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValue))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.maxValue()))
 	if err != nil {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
+	if r.Header.Get("If-Match") == "" && r.Header.Get("If-None-Match") == "" {
+		w.WriteHeader(http.StatusPreconditionRequired)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.Writes++
 	current, exists := s.objects[key]
 	if !s.conditionHolds(r, current, exists) {
 		s.counts.Conflicts++
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -21,6 +21,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -41,6 +42,10 @@
 	watchGrace     = 2 * time.Second
 	maxConnections = 8
 	keyPath        = "/v1/objects/"
+	// maxAnswer bounds an answer; a page of a listing has up to 1000 keys.
+	maxAnswer = 2 * MaxValue
+	// headerNext names the key after which the next page of a listing begins.
+	headerNext = "Next-After"
 )
 
 // ErrNotFound says that there is no object under the key.
@@ -140,19 +145,47 @@
 }
 
 // List returns the objects whose keys start with the prefix, in order of keys.
+// A long listing is read in pages: what is written meanwhile may be in it or not.
 func (c *Client) List(ctx context.Context, prefix string) ([]Entry, error) {
-	response, err := c.do(ctx, http.MethodGet, c.url("", url.Values{"prefix": {prefix}}), nil, nil, c.timeout)
+	var entries []Entry
+	after := ""
+	for {
+		page, next, err := c.page(ctx, prefix, after)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, page...)
+		if next == "" {
+			return entries, nil
+		}
+		if next <= after {
+			return nil, broken(http.MethodGet, errors.Newf("the page after %q names %q as the next", after, next))
+		}
+		after = next
+	}
+}
+
+// page returns a part of a listing, and the key after which the next one begins.
+func (c *Client) page(ctx context.Context, prefix, after string) (entries []Entry, next string, err error) {
+	query := url.Values{"prefix": {prefix}}
+	if after != "" {
+		query.Set("after", after)
+	}
+	response, err := c.do(ctx, http.MethodGet, c.url("", query), nil, nil, c.timeout)
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	if response.status != http.StatusOK {
-		return nil, unexpected(response)
+		return nil, "", unexpected(response)
 	}
-	var entries []Entry
 	if err := json.Unmarshal(response.body, &entries); err != nil {
-		return nil, errors.Wrap(err, "listing from the platform")
+		return nil, "", broken(http.MethodGet, err)
 	}
-	return entries, nil
+	next, err = url.QueryUnescape(response.header.Get(headerNext))
+	if err != nil {
+		return nil, "", broken(http.MethodGet, err)
+	}
+	return entries, next, nil
 }
 
 // Put writes an object that is at the revision after; 0 creates it. The error
@@ -166,7 +199,15 @@
 	if err != nil {
 		return 0, err
 	}
-	return c.written(response, key, after)
+	if err := writeError(response, key, after); err != nil {
+		return 0, err
+	}
+	revision, err := revisionOf(response.header)
+	if err != nil {
+		// The write took effect, but nobody knows under which revision.
+		return 0, broken(http.MethodPut, err)
+	}
+	return revision, nil
 }
 
 // Delete removes an object that is at the revision after; errors as for Put.
@@ -175,8 +216,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.written(response, key, after)
-	return err
+	return writeError(response, key, after)
 }
 
 // Close ends the idle connections.
@@ -196,6 +236,9 @@
 }
 
 func (c *Client) do(ctx context.Context, method, url string, value []byte, after *Revision, timeout time.Duration) (response, error) {
+	if err := ctx.Err(); err != nil {
+		return response{}, verdict.Refuse("cancelled", err.Error())
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := httpclient.NewRequest(ctx, method, url, bytes.NewReader(value))
@@ -210,30 +253,33 @@
 	}
 	answer, err := c.http.Do(request)
 	if err != nil {
-		return response{}, verdict.Unknown("platformUnreachable", method, err)
+		return response{}, unreachable(method, err)
 	}
 	defer answer.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, 2*MaxValue))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1))
 	if err != nil {
-		return response{}, verdict.Unknown("platformAnswerBroken", method, err)
+		return response{}, broken(method, err)
 	}
 	switch {
+	case len(body) > maxAnswer:
+		return response{}, broken(method, errors.Newf("more than %d bytes", maxAnswer))
 	case answer.StatusCode == http.StatusTooManyRequests:
-		return response{}, verdict.Refuse("platformRateLimit", "the platform refused the request")
+		return response{}, verdict.RefuseFor("platformRateLimit", "the platform refused the request", retryAfter(answer.Header))
 	case answer.StatusCode >= http.StatusInternalServerError:
 		return response{}, verdict.Unknown("platformFailed", answer.Status, nil)
 	}
 	return response{status: answer.StatusCode, header: answer.Header, body: body}, nil
 }
 
-func (c *Client) written(r response, key string, after Revision) (Revision, error) {
+// writeError returns what a platform that answered a write said against it.
+func writeError(r response, key string, after Revision) error {
 	switch r.status {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
-		return revisionOf(r.header)
-	case http.StatusPreconditionFailed:
-		return 0, &ConflictError{Key: key, Want: after}
+		return nil
+	case http.StatusPreconditionFailed, http.StatusNotFound:
+		return &ConflictError{Key: key, Want: after}
 	}
-	return 0, unexpected(r)
+	return unexpected(r)
 }
 
 func setCondition(h http.Header, after Revision) {
@@ -248,7 +294,10 @@
 	switch r.status {
 	case http.StatusOK:
 		revision, err := revisionOf(r.header)
-		return Object{Value: r.body, Revision: revision}, err
+		if err != nil {
+			return Object{}, broken(http.MethodGet, err)
+		}
+		return Object{Value: r.body, Revision: revision}, nil
 	case http.StatusNotFound:
 		return Object{}, ErrNotFound
 	}
@@ -257,20 +306,40 @@
 
 func revisionOf(h http.Header) (Revision, error) {
 	tag := h.Get("ETag")
-	if tag == "" {
-		return 0, nil
-	}
 	text, err := strconv.Unquote(tag)
 	if err != nil {
 		return 0, errors.Newf("ETag %q from the platform", tag)
 	}
 	n, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
+	if err != nil || n == 0 {
 		return 0, errors.Newf("ETag %q from the platform", tag)
 	}
 	return Revision(n), nil
 }
 
+// unreachable says that there was no answer. A connection that never came about
+// carried no request.
+func unreachable(method string, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return verdict.Refuse("platformUnreachable", method+": "+err.Error())
+	}
+	return verdict.Unknown("platformUnreachable", method, err)
+}
+
+// broken says that an answer came that cannot be used.
+func broken(method string, err error) error {
+	return verdict.Unknown("platformAnswerBroken", method, err)
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 func unexpected(r response) error {
 	return verdict.Refuse("platformRefused", "status "+strconv.Itoa(r.status))
 }
