--- a/cmd/lavenderdeal/process_test.go
+++ b/cmd/lavenderdeal/process_test.go
@@ -139,8 +139,11 @@
 	f.nodes[i] = startProcess(t, false, "node", "--config", file)
 }
 
+// addr returns an address of a node. Two runs of the test at once do not share
+// addresses.
 func (f *processFleet) addr(i, port int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 77, 0, byte(i + 1)}), uint16(port))
+	pid := os.Getpid()
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(64 + pid>>8&0x3f), byte(pid), byte(i + 1)}), uint16(port))
 }
 
 func (f *processFleet) waitReady(t *testing.T) {
