calls: run a call with an idempotency key at most once

Cause: a keyed call was sent to any server and could run twice when it was sent again through another node.

Change: the records of a key are kept at its home, a node of the service chosen by rendezvous hashing over a roster in the platform (core/home). The home runs keyed calls only while its roster is confirmed (core/fence). core/once keeps the records. io/server and io/peercall count the bytes that left, so a refusal is notRun only when none did.

--- /dev/null
+++ b/core/fence/fence_test.go
@@ -0,0 +1,74 @@
+package fence_test
+
+import (
+	"testing"
+	"time"
+
+	"lavenderdeal/core/fence"
+	"lavenderdeal/core/home"
+	"lavenderdeal/schema/objects"
+)
+
+func threeHomes() *home.Roster {
+	return home.First("bookings", []objects.HomeEntry{{Id: "a"}, {Id: "b"}, {Id: "c"}})
+}
+
+func newFence(id string) *fence.Fence {
+	f := fence.New(id)
+	f.Adopt(threeHomes())
+	f.PlatformRead(epoch0, 1)
+	return f
+}
+
+func assertConfirmed(t *testing.T, f *fence.Fence, now time.Time, want bool) {
+	t.Helper()
+	if got := f.Confirmed(now); got != want {
+		t.Fatalf("confirmed at +%v: got %v, want %v", now.Sub(epoch0), got, want)
+	}
+}
+
+func TestConfirmation(t *testing.T) {
+	late := epoch0.Add(2 * fence.Limit)
+	t.Run("ends without platform and peers", func(t *testing.T) {
+		f := newFence("a")
+		assertConfirmed(t, f, epoch0.Add(fence.Limit-1), true)
+		assertConfirmed(t, f, epoch0.Add(fence.Limit), false)
+	})
+	t.Run("goes on with more than half of the homes", func(t *testing.T) {
+		f := newFence("a")
+		f.Answered(late, "b", newFence("b").State(late))
+		assertConfirmed(t, f, late.Add(fence.Limit-1), true)
+		assertConfirmed(t, f, late.Add(fence.Limit), false)
+	})
+	t.Run("is not given by a home that prepared the next epoch", func(t *testing.T) {
+		f, b := newFence("a"), newFence("b")
+		if !b.Prepare(late, 2) {
+			t.Fatal("epoch 2 was not prepared")
+		}
+		f.Answered(late, "b", b.State(late))
+		assertConfirmed(t, f, late, false)
+	})
+	t.Run("is not given to itself after it prepared the next epoch", func(t *testing.T) {
+		f := newFence("a")
+		f.Prepare(late, 2)
+		f.Answered(late, "b", newFence("b").State(late))
+		assertConfirmed(t, f, late, false)
+	})
+	t.Run("is given again once the platform shows that the change was given up", func(t *testing.T) {
+		b := newFence("b")
+		b.Prepare(late, 2)
+		b.PlatformRead(late.Add(fence.WriteLimit), 1)
+		if got := b.State(late).Prepared; got != 2 {
+			t.Fatalf("prepared epoch is %d while its write may be on its way, want 2", got)
+		}
+		b.PlatformRead(late.Add(fence.WriteLimit+1), 1)
+		if got := b.State(late).Prepared; got != 0 {
+			t.Fatalf("prepared epoch is %d, want 0", got)
+		}
+	})
+	t.Run("of an epoch that is known already is refused", func(t *testing.T) {
+		if newFence("a").Prepare(late, 1) {
+			t.Fatal("epoch 1 was prepared twice")
+		}
+	})
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -63,6 +63,15 @@
 // the slice.
 func (v *View) Members() []messages.Member { return v.members }
 
+// Member returns a member by its id.
+func (v *View) Member(id string) (messages.Member, bool) {
+	i, ok := slices.BinarySearchFunc(v.members, id, func(m messages.Member, id string) int { return strings.Compare(m.Id, id) })
+	if !ok {
+		return messages.Member{}, false
+	}
+	return v.members[i], true
+}
+
 // Servers returns the members that take new calls of a service, in order of
 // their ids. The caller does not change the slice.
 func (v *View) Servers(service string) []messages.Member { return v.byService[service] }
--- /dev/null
+++ b/core/home/home_test.go
@@ -0,0 +1,138 @@
+package home_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lavenderdeal/core/home"
+	"lavenderdeal/core/once"
+	"lavenderdeal/core/verdict"
+	"lavenderdeal/schema/objects"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func ExampleParseKey() {
+	fmt.Println(home.ParseKey("crew", "019ae7e4-5c00-7c3a-8f4e-3b1d5a6c7e80").At.UTC())
+	fmt.Println(home.ParseKey("crew", "order-17").At.IsZero())
+	// Output:
+	// 2025-12-04 05:44:54.016 +0000 UTC
+	// true
+}
+
+func roster(ids ...string) *home.Roster {
+	var entries []objects.HomeEntry
+	for _, id := range ids {
+		entries = append(entries, objects.HomeEntry{Id: id})
+	}
+	return home.First("bookings", entries)
+}
+
+func timed(at time.Time, n int) home.Key {
+	return home.Key{Customer: "crew", Value: fmt.Sprint(n), At: at}
+}
+
+func assertRefused(t *testing.T, d home.Decision, want verdict.Verdict) {
+	t.Helper()
+	refused, ok := d.(home.Refused)
+	if !ok || refused.Verdict.String() != want.String() || verdict.Rule(refused.Verdict) != verdict.Rule(want) {
+		t.Fatalf("got %+v, want %v %s", d, want, verdict.Rule(want))
+	}
+}
+
+func at(t *testing.T, d home.Decision) home.At {
+	t.Helper()
+	found, ok := d.(home.At)
+	if !ok {
+		t.Fatalf("got %+v, want a home", d)
+	}
+	return found
+}
+
+func TestTimeOfAKey(t *testing.T) {
+	r := roster("a", "b")
+	t.Run("too old", func(t *testing.T) {
+		assertRefused(t, r.Find(start, timed(start.Add(-once.Window-1), 1)), verdict.MayHaveRun{Rule: "keyTooOld"})
+	})
+	t.Run("in the future", func(t *testing.T) {
+		assertRefused(t, r.Find(start, timed(start.Add(home.ClockMargin+1), 1)), verdict.NotRun{Rule: "keyTimeInFuture"})
+	})
+	t.Run("malformed keys have none", func(t *testing.T) {
+		for _, key := range []string{
+			"", "019ae7e4-5c00-4c3a-8f4e-3b1d5a6c7e80", "019ae7e4-5c00-7c3a-cf4e-3b1d5a6c7e80",
+			"019ae7e4x5c00-7c3a-8f4e-3b1d5a6c7e80", "019ae7e4-5c00-7c3a-8f4e-3b1d5a6c7e8g", "0-9ae7e4-5c00-7c3a-8f4e-3b1d5a6c7e80",
+		} {
+			if got := home.ParseKey("crew", key).At; !got.IsZero() {
+				t.Errorf("key %q: got time %v, want none", key, got)
+			}
+		}
+	})
+}
+
+func TestChanges(t *testing.T) {
+	join := start.Add(time.Minute)
+	later := join.Add(time.Second)
+	before := roster("a", "b", "c")
+	joined := before.Next(start, join, home.Change{Join: []objects.HomeEntry{{Id: "d"}}})
+	t.Run("a join moves no key of an earlier time", func(t *testing.T) {
+		for n := range 1000 {
+			key := timed(start, n)
+			if got, want := at(t, joined.Find(later, key)), at(t, before.Find(later, key)); got != want {
+				t.Fatalf("key %d: home %v, want %v", n, got, want)
+			}
+		}
+	})
+	t.Run("a join takes its share of the keys of a later time", func(t *testing.T) {
+		taken := 0
+		for n := range 1000 {
+			if at(t, joined.Find(later, timed(join, n))).ID == "d" {
+				taken++
+			}
+		}
+		// Four homes: a quarter, with a wide margin for chance.
+		if taken < 150 || taken > 350 {
+			t.Fatalf("the new home has %d of 1000 keys, want about 250", taken)
+		}
+	})
+	t.Run("a join leaves an untimed key to its old home's records", func(t *testing.T) {
+		for n := range 1000 {
+			key := timed(time.Time{}, n)
+			old, got := at(t, before.Find(later, key)), at(t, joined.Find(later, key))
+			moves := at(t, joined.Find(join.Add(once.Keep), key)).ID == "d"
+			if got.ID != old.ID || got.Moved != moves {
+				t.Fatalf("key %d: got %+v, want home %s and moved %v", n, got, old.ID, moves)
+			}
+		}
+	})
+	removed := before.Next(start, join, home.Change{Remove: []string{"a"}})
+	left := before.Leave(start, "a", true)
+	t.Run("the keys of a lost home are refused", func(t *testing.T) {
+		for n := range 1000 {
+			key := timed(start, n)
+			if at(t, before.Find(start, key)).ID == "a" {
+				assertRefused(t, removed.Find(later, key), verdict.MayHaveRun{Rule: "homeLost"})
+			}
+		}
+	})
+	t.Run("the keys of a home that handed over go on", func(t *testing.T) {
+		for n := range 1000 {
+			if id := at(t, left.Find(start, timed(start.Add(-time.Second), n))).ID; id == "a" {
+				t.Fatalf("key %d: home is %s, which left", n, id)
+			}
+		}
+	})
+	t.Run("changes take effect in the order of their epochs", func(t *testing.T) {
+		next := joined.Next(start, start, home.Change{Remove: []string{"a"}})
+		for _, e := range next.Homes().Entries {
+			if e.Id == "a" && e.RemovedAt.Before(join) {
+				t.Fatalf("removal at %v, before the join at %v", e.RemovedAt, join)
+			}
+		}
+	})
+	t.Run("old removals are forgotten", func(t *testing.T) {
+		if later := removed.Leave(join.Add(3*once.Keep), "b", true); later.Has("a") {
+			t.Fatal("a removal older than any key is still in the roster")
+		}
+	})
+}
--- /dev/null
+++ b/core/once/once_test.go
@@ -0,0 +1,142 @@
+package once_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lavenderdeal/core/once"
+	"lavenderdeal/core/verdict"
+	"lavenderdeal/internal/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func id(n int) once.ID { return once.ID{Customer: "crew", Key: fmt.Sprint(n)} }
+
+func assertRule(t interface{ Fatalf(string, ...any) }, o once.Outcome, want verdict.Verdict) {
+	refused, ok := o.(once.Refused)
+	if !ok || refused.Verdict.String() != want.String() || verdict.Rule(refused.Verdict) != verdict.Rule(want) {
+		t.Fatalf("got %#v, want %v %s", o, want, verdict.Rule(want))
+	}
+}
+
+func TestBounds(t *testing.T) {
+	t.Run("a full table refuses new keys and keeps the old ones", func(t *testing.T) {
+		var table once.Table
+		for n := range once.MaxRecords {
+			table.Begin(start, id(n), "")
+			table.Finish(start, id(n), once.Answer{Status: 201})
+		}
+		assertRule(t, table.Begin(start, id(-1), ""), verdict.NotRun{Rule: "keyTableFull"})
+		if _, ok := table.Begin(start, id(0), "").(once.Repeat); !ok {
+			t.Fatal("the first answer is gone")
+		}
+		if _, ok := table.Begin(start.Add(once.Keep), id(-1), "").(once.Run); !ok {
+			t.Fatal("the table is full of records that are too old")
+		}
+	})
+	t.Run("the oldest bodies make room, their records stay", func(t *testing.T) {
+		var table once.Table
+		n := once.MaxBodies/once.MaxAnswer + 1
+		for i := range n {
+			table.Begin(start, id(i), "")
+			table.Finish(start, id(i), once.Answer{Status: 201, Body: make([]byte, once.MaxAnswer)})
+		}
+		if got := table.BodyBytes(); got > once.MaxBodies {
+			t.Fatalf("%d bytes of bodies, want at most %d", got, once.MaxBodies)
+		}
+		assertRule(t, table.Begin(start, id(0), ""), verdict.MayHaveRun{Rule: "answerDropped"})
+		if _, ok := table.Begin(start, id(1), "").(once.Repeat); !ok {
+			t.Fatal("the second answer is gone too")
+		}
+	})
+}
+
+// model is what a table should know of one key.
+type model struct {
+	content string
+	running bool
+	status  int
+	endedAt time.Time
+}
+
+func TestTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var table once.Table
+		now := start
+		known := make(map[once.ID]*model)
+		draw := func(t *rapid.T) once.ID { return id(rapid.IntRange(0, 4).Draw(t, "key")) }
+		end := func(t *rapid.T, status int) once.ID {
+			key := draw(t)
+			if m := known[key]; m != nil && m.running {
+				m.running, m.status, m.endedAt = false, status, now
+				return key
+			}
+			t.Skip("not running")
+			return key
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 8).Draw(t, "minutes")) * time.Minute)
+			},
+			"begin": func(t *rapid.T) {
+				key, content := draw(t), rapid.SampledFrom([]string{"x", "y"}).Draw(t, "content")
+				m := known[key]
+				outcome := table.Begin(now, key, content)
+				switch {
+				case m == nil || (!m.running && now.Sub(m.endedAt) >= once.Keep):
+					if _, ok := outcome.(once.Run); !ok {
+						t.Fatalf("new key: got %#v", outcome)
+					}
+					known[key] = &model{content: content, running: true}
+				case m.content != content:
+					assertRule(t, outcome, verdict.NotRun{Rule: "keyReused"})
+				case m.running:
+					if _, ok := outcome.(once.Wait); !ok {
+						t.Fatalf("running: got %#v", outcome)
+					}
+				case m.status == 0:
+					assertRule(t, outcome, verdict.MayHaveRun{Rule: "outcomeUnknown"})
+				default:
+					if o, ok := outcome.(once.Repeat); !ok || o.Answer.Status != m.status {
+						t.Fatalf("answered %d: got %#v", m.status, outcome)
+					}
+				}
+			},
+			"finish": func(t *rapid.T) {
+				status := rapid.IntRange(200, 599).Draw(t, "status")
+				table.Finish(now, end(t, status), once.Answer{Status: status, Body: []byte("ok")})
+			},
+			"lose": func(t *rapid.T) { table.Lose(now, end(t, 0)) },
+			"release": func(t *rapid.T) {
+				key := end(t, 0)
+				delete(known, key)
+				table.Release(key)
+			},
+			"handOver": func(t *rapid.T) {
+				var next once.Table
+				exported := table.Export(1 << 20)
+				slices.Reverse(exported)
+				for _, r := range exported {
+					if !next.Import(now, r) {
+						t.Fatal("a record was not kept")
+					}
+				}
+				for key, m := range known {
+					if m.running {
+						m.running, m.endedAt = false, now
+					} else if next.Has(now, key) {
+						m.endedAt = now
+					}
+				}
+				table = next
+			},
+		})
+	})
+}
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -76,6 +76,9 @@
 	return &Error{Verdict: MayHaveRun{Rule: rule, Detail: detail}, cause: cause}
 }
 
+// With returns the error that carries a verdict.
+func With(v Verdict) *Error { return &Error{Verdict: v} }
+
 // Of returns the verdict that err carries. A nil error is Ran. An error without
 // a verdict is MayHaveRun, since nobody claims to know.
 func Of(err error) Verdict {
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -25,6 +25,7 @@
 	"lavenderdeal/core/plans"
 	"lavenderdeal/core/priority"
 	"lavenderdeal/core/verdict"
+	"lavenderdeal/internal/homes"
 	"lavenderdeal/internal/inforce"
 	"lavenderdeal/internal/metrics"
 	"lavenderdeal/internal/relay"
@@ -53,6 +54,8 @@
 	peers   *peercall.Client
 	key     secret.Key
 	metrics *metrics.Set
+	homes   *homes.Loop
+	leaving atomic.Bool
 
 	// mu guards chooser and is never held during a call.
 	mu      sync.Mutex
@@ -61,7 +64,7 @@
 
 // NewEntry returns an entry.
 func NewEntry(held *inforce.Plans, view *atomic.Pointer[fleet.View], runner *Runner, peers *peercall.Client, key secret.Key, m *metrics.Set) *Entry {
-	return &Entry{plans: held, view: view, runner: runner, peers: peers, key: key, metrics: m}
+	return &Entry{plans: held, view: view, runner: runner, peers: peers, key: key, metrics: m, homes: runner.homes}
 }
 
 // ServeHTTP answers a call of an outside caller or of the own backend server.
@@ -73,14 +76,16 @@
 		e.refuse(w, err, request.ID)
 		return
 	}
+	guard := relay.Guard{}
+	defer guard.Recover(func(err error) { e.refuse(w, err, request.ID) })
 	call, err := e.decide(r.Context(), request, r)
 	if err != nil {
-		e.refuse(w, err, request.ID)
+		e.refuse(w, err, call.Id)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(call.TimeoutMillis)*time.Millisecond)
 	defer cancel()
-	answer, err := e.attempt(ctx, call, r)
+	answer, err := e.send(ctx, call, r)
 	if err != nil {
 		e.refuse(w, err, call.Id)
 		return
@@ -88,11 +93,33 @@
 	defer answer.Body.Close()
 	answer.Header.Set(caller.HeaderRequestID, call.Id)
 	answer.Header.Set(caller.HeaderVerdict, verdict.Ran{}.String())
-	relay.Answer(w, answer)
+	if e.leaving.Load() {
+		// The caller opens its next connection to another node.
+		w.Header().Set("Connection", "close")
+	}
+	guard.Started()
+	relay.AnswerTo(w, r, answer)
 	e.metrics.Add("callsAnswered", 1)
 	e.metrics.ObserveCall(priority.Priority(call.Priority), call.Customer, time.Since(started))
 }
 
+// send gives the call to a backend server. A call with an idempotency key goes
+// to the home of its key and to no other.
+func (e *Entry) send(ctx context.Context, call messages.Call, r *http.Request) (*http.Response, error) {
+	call.SentAt = time.Now()
+	if call.Key == "" {
+		return e.attempt(ctx, call, r)
+	}
+	if e.homes == nil {
+		return nil, verdict.Refuse("keysUnsupported", "this node knows no homes of idempotency keys")
+	}
+	return e.attemptKeyed(ctx, call, r)
+}
+
+// SetLeaving makes the entry tell callers to open their next connection
+// elsewhere.
+func (e *Entry) SetLeaving() { e.leaving.Store(true) }
+
 func (e *Entry) refuse(w http.ResponseWriter, err error, id string) {
 	v := verdict.Of(err)
 	e.metrics.Add("callsRefused", 1)
@@ -106,9 +133,9 @@
 	wanted := plans.Request{Key: request.Key, Service: request.Service, Method: r.Method, Path: r.URL.Path}
 	version := e.plans.Get()
 	if version == nil {
-		return messages.Call{}, verdict.RefuseFor("notReady", "this node has no version of the plans yet", time.Second)
+		return messages.Call{Id: request.ID}, verdict.RefuseFor("notReady", "this node has no version of the plans yet", time.Second)
 	}
-	call := messages.Call{Id: request.ID, Service: request.Service}
+	call := messages.Call{Id: request.ID, Service: request.Service, Key: request.IdempotencyKey}
 	var decision plans.Decision
 	remaining := time.Duration(0)
 	if request.Chain != "" {
--- a/internal/calls/runner.go
+++ b/internal/calls/runner.go
@@ -5,13 +5,16 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lavenderdeal/core/admission"
 	"lavenderdeal/core/plans"
 	"lavenderdeal/core/verdict"
+	"lavenderdeal/internal/homes"
 	"lavenderdeal/internal/inforce"
 	"lavenderdeal/internal/metrics"
+	"lavenderdeal/internal/records"
 	"lavenderdeal/internal/relay"
 	"lavenderdeal/internal/secret"
 	"lavenderdeal/io/caller"
@@ -26,6 +29,11 @@
 	server  *server.Client
 	key     secret.Key
 	metrics *metrics.Set
+	homes   *homes.Loop
+	records *records.Records
+	// lastPeerCall is when the newest call of another node came, in nanoseconds
+	// since 1970.
+	lastPeerCall atomic.Int64
 
 	// mu guards the queue and the waiting calls and is never held during a call.
 	mu      sync.Mutex
@@ -34,9 +42,19 @@
 	waiting map[uint64]chan admission.Outcome
 }
 
+// RunnerOption changes a runner while it is built.
+type RunnerOption func(*Runner)
+
+// WithHomes sets where the runner learns of which idempotency keys its node is
+// the home, and where it keeps their records. Without it calls with a key are
+// refused.
+func WithHomes(h *homes.Loop, r *records.Records) RunnerOption {
+	return func(runner *Runner) { runner.homes, runner.records = h, r }
+}
+
 // NewRunner returns a runner for a backend server with a number of slots.
-func NewRunner(held *inforce.Plans, client *server.Client, slots int, key secret.Key, m *metrics.Set) *Runner {
-	return &Runner{
+func NewRunner(held *inforce.Plans, client *server.Client, slots int, key secret.Key, m *metrics.Set, opts ...RunnerOption) *Runner {
+	r := &Runner{
 		plans:   held,
 		server:  client,
 		key:     key,
@@ -44,16 +62,28 @@
 		queue:   admission.New(slots),
 		waiting: make(map[uint64]chan admission.Outcome),
 	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
 }
 
 // ServeHTTP answers a call that another node sent.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.metrics.Add("callsFromPeers", 1)
-	call, err := peercall.Read(r.key, request)
+	r.lastPeerCall.Store(time.Now().UnixNano())
+	call, err := peercall.Read(r.key, request, time.Now())
 	if err != nil {
 		r.refuse(w, err, "")
 		return
 	}
+	guard := relay.Guard{}
+	defer guard.Recover(func(err error) { r.refuse(w, err, call.Id) })
+	if r.homes != nil && call.To != "" && call.To != r.homes.ID() {
+		// The address belonged to another process when the call was sent.
+		r.refuse(w, verdict.RefuseFor("wrongNode", "the call is for a node that is gone", time.Second), call.Id)
+		return
+	}
 	ctx, cancel := context.WithTimeout(request.Context(), time.Duration(call.TimeoutMillis)*time.Millisecond)
 	defer cancel()
 	answer, err := r.Do(ctx, call, request, request.Body)
@@ -64,9 +94,13 @@
 	defer answer.Body.Close()
 	answer.Header.Set(caller.HeaderVerdict, verdict.Ran{}.String())
 	peercall.SetLoad(answer.Header, r.Load())
+	guard.Started()
 	relay.Answer(w, answer)
 }
 
+// QuietSince returns when the newest call of another node came.
+func (r *Runner) QuietSince() time.Time { return time.Unix(0, r.lastPeerCall.Load()) }
+
 func (r *Runner) refuse(w http.ResponseWriter, err error, id string) {
 	v := verdict.Of(err)
 	r.metrics.Add("peerRefused."+verdict.Rule(v), 1)
@@ -85,22 +119,55 @@
 	if refused, ok := decision.(plans.Refused); ok {
 		return nil, verdict.Refuse(refused.Rule, refused.Detail)
 	}
+	if call.Key == "" {
+		return r.run(ctx, call, request, body)
+	}
+	if r.homes == nil {
+		return nil, verdict.Refuse("keysUnsupported", "this node keeps no records of idempotency keys")
+	}
+	return r.runKeyed(ctx, call, request, body)
+}
+
+// run runs a call that may run. No other package part sends to the backend
+// server.
+func (r *Runner) run(ctx context.Context, call messages.Call, request *http.Request, body io.Reader) (*http.Response, error) {
 	slot, err := r.admit(ctx, call)
 	if err != nil {
 		return nil, err
 	}
-	deadline, _ := ctx.Deadline()
-	chain := sealChain(r.key, messages.Chain{Call: call, Deadline: deadline})
-	answer, err := r.server.Do(ctx, request, body, chain)
+	free := sync.OnceFunc(func() { r.done(slot) })
+	sending := false
+	defer func() {
+		if !sending {
+			free()
+		}
+	}()
+	// The node may have been stopped for a while since it looked last.
+	if ctx.Err() != nil {
+		return nil, verdict.Refuse("callerGone", "the caller left or its deadline passed before the call was sent to the backend server")
+	}
+	cancel := context.CancelFunc(func() {})
+	if call.Key != "" {
+		ctx, cancel = keepRunning(ctx)
+	}
+	answer, err := r.server.Do(ctx, call, request, body, r.chain(ctx, call))
 	if err != nil {
-		r.done(slot)
+		cancel()
 		return nil, err
 	}
+	sending = true
 	r.metrics.Add("callsRun", 1)
-	answer.Body = &slotBody{ReadCloser: answer.Body, free: sync.OnceFunc(func() { r.done(slot) })}
+	answer.Body = &slotBody{ReadCloser: answer.Body, cancel: cancel, free: free}
 	return answer, nil
 }
 
+// chain returns what the backend server sends along when it calls on.
+func (r *Runner) chain(ctx context.Context, call messages.Call) string {
+	deadline, _ := ctx.Deadline()
+	call.To, call.Key, call.Content, call.SentAt = "", "", "", time.Time{}
+	return sealChain(r.key, messages.Chain{Call: call, Deadline: deadline})
+}
+
 // Load returns the load of the backend server.
 func (r *Runner) Load() messages.Load {
 	r.mu.Lock()
@@ -112,10 +179,12 @@
 // slotBody frees the slot when the answer has been read.
 type slotBody struct {
 	io.ReadCloser
-	free func()
+	cancel context.CancelFunc
+	free   func()
 }
 
 func (b *slotBody) Close() error {
 	defer b.free()
+	defer b.cancel()
 	return b.ReadCloser.Close()
 }
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -64,6 +64,7 @@
 	for _, opt := range opts {
 		opt(transport)
 	}
+	countDials(transport)
 	client := &http.Client{
 		Transport: transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
@@ -76,9 +77,15 @@
 }
 
 // Do sends the request once. The transport would send some requests again by
-// itself when a reused connection breaks; [Once] makes that impossible.
+// itself when a reused connection breaks; [Once] makes that impossible. The
+// error says whether a byte may have left; see [Sent].
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
-	return c.service.DoRequest(Once(r))
+	var trace sendTrace
+	answer, err := c.service.DoRequest(Once(r.WithContext(trace.follow(r.Context()))))
+	if err != nil {
+		return nil, &SendError{Sent: trace.isSent(), cause: err}
+	}
+	return answer, nil
 }
 
 // Close ends the idle connections.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,21 +13,21 @@
 	"crypto/rand"
 	"encoding/hex"
 	"sync/atomic"
-	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"lavenderdeal/core/explain"
 	"lavenderdeal/core/fleet"
 	"lavenderdeal/internal/calls"
 	"lavenderdeal/internal/follow"
+	"lavenderdeal/internal/homes"
 	"lavenderdeal/internal/httpclient"
 	"lavenderdeal/internal/httpserver"
 	"lavenderdeal/internal/inforce"
 	"lavenderdeal/internal/membership"
 	"lavenderdeal/internal/metrics"
+	"lavenderdeal/internal/records"
 	"lavenderdeal/internal/secret"
 	"lavenderdeal/io/operator"
 	"lavenderdeal/io/peer"
@@ -55,6 +55,9 @@
 	endpoint *peer.Endpoint
 	members  *membership.Loop
 	follower *follow.Loop
+	homes    *homes.Loop
+	records  records.Records
+	entry    *calls.Entry
 	runner   *calls.Runner
 	closers  []func()
 
@@ -95,7 +98,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	n.members.Start(messages.Member{
+	self := messages.Member{
 		Id:          newID(),
 		Zone:        cfg.Zone,
 		Region:      cfg.Region,
@@ -105,9 +108,12 @@
 		Slots:       cfg.Server.Slots,
 		Incarnation: 1,
 		State:       messages.MemberStateStarting,
-	})
+	}
+	n.homes.Start(self)
+	n.members.Start(self)
 	n.group.Go(func() error { return n.members.Run(ctx) })
 	n.group.Go(func() error { return n.follower.Run(ctx) })
+	n.group.Go(func() error { return n.homes.Run(ctx) })
 	n.group.Go(func() error { return n.becomeReady(ctx) })
 	return n, nil
 }
@@ -138,18 +144,28 @@
 		Metrics:  n.metrics,
 		Log:      n.log,
 	}
+	n.homes = &homes.Loop{
+		View:     &n.view,
+		Platform: platformClient,
+		Records:  &n.records,
+		Ring:     n.ring,
+		Metrics:  n.metrics,
+		Log:      n.log,
+	}
 	var mux peer.Mux
 	n.members.Handle(&mux)
 	n.follower.Handle(&mux)
+	n.homes.Handle(&mux)
 	n.view.Store(&fleet.View{})
-	n.runner = calls.NewRunner(&n.plans, serverClient, n.cfg.Server.Slots, key, n.metrics)
-	entry := calls.NewEntry(&n.plans, &n.view, n.runner, peerClient, key, n.metrics)
+	n.runner = calls.NewRunner(&n.plans, serverClient, n.cfg.Server.Slots, key, n.metrics,
+		calls.WithHomes(n.homes, &n.records))
+	n.entry = calls.NewEntry(&n.plans, &n.view, n.runner, peerClient, key, n.metrics)
 
 	var err error
 	if n.callServer, err = httpserver.Start(n.cfg.Listen.Call, n.runner); err != nil {
 		return err
 	}
-	if n.callerServer, err = httpserver.Start(n.cfg.Listen.Caller, entry); err != nil {
+	if n.callerServer, err = httpserver.Start(n.cfg.Listen.Caller, n.entry); err != nil {
 		return err
 	}
 	handler := &operator.Handler{Status: n.Status, Ring: n.ring, Metrics: n.metrics.Map(), Key: n.cfg.OperatorKey, Counters: n.metrics}
@@ -159,7 +175,7 @@
 	if n.endpoint, err = peer.Listen(n.cfg.Listen.Peer, key, &mux, n.peerOptions...); err != nil {
 		return err
 	}
-	n.members.Endpoint, n.follower.Endpoint = n.endpoint, n.endpoint
+	n.members.Endpoint, n.follower.Endpoint, n.homes.Endpoint = n.endpoint, n.endpoint, n.endpoint
 	return nil
 }
 
@@ -209,20 +225,6 @@
 // Metrics returns the node's counters and histograms.
 func (n *Node) Metrics() *metrics.Set { return n.metrics }
 
-// Stop leaves the fleet without cutting off a call: it announces that the node
-// leaves, waits until callers have stopped sending, finishes the calls that
-// were accepted and closes. When ctx ends first, what still runs is cut off and
-// the error says so.
-func (n *Node) Stop(ctx context.Context) error {
-	n.members.SetState(messages.MemberStateLeaving)
-	wait(ctx, n.cfg.Drain.Announce.Std())
-	ctx, cancel := context.WithTimeout(ctx, n.cfg.Drain.Finish.Std())
-	defer cancel()
-	err := errors.CombineErrors(n.callerServer.Shutdown(ctx), n.callServer.Shutdown(ctx))
-	n.close()
-	return errors.Wrap(err, "calls were cut off")
-}
-
 // Kill ends the node at once, as a crash would.
 func (n *Node) Kill() { n.close() }
 
@@ -244,15 +246,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func newID() string {
 	var id [8]byte
 	_, _ = rand.Read(id[:])
--- /dev/null
+++ b/internal/records/records.go
@@ -0,0 +1,165 @@
+// Package records shares the records of idempotency keys among the calls of one
+// node.
+//
+// [Records.Begin] waits while an earlier call with the same key is running:
+//
+//	switch o := r.Begin(ctx, id, content, false).(type) {
+//	case once.Run:
+//		r.Finish(id, answer)
+//	case once.Repeat:
+//		send(o.Answer)
+//	case once.Refused:
+//		refuse(o.Verdict)
+//	}
+package records
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lavenderdeal/core/once"
+	"lavenderdeal/core/verdict"
+)
+
+// Records is a table with its lock. The zero value is empty and ready to use. It
+// is safe for use by several goroutines at once. Lock order: mu is the only
+// lock.
+type Records struct {
+	mu     sync.Mutex
+	table  once.Table
+	ends   map[once.ID]chan struct{}
+	sealed bool
+}
+
+// Begin decides about a call; it never returns [once.Wait]. When knownOnly is
+// set, a call without a record is refused.
+func (r *Records) Begin(ctx context.Context, id once.ID, content string, knownOnly bool) once.Outcome {
+	for {
+		outcome, ended := r.begin(id, content, knownOnly)
+		if ended == nil {
+			return outcome
+		}
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return once.Refused{Verdict: verdict.MayHaveRun{
+				Rule:   "stillRunning",
+				Detail: "an earlier call with this idempotency key is running",
+			}}
+		}
+	}
+}
+
+// Finish ends a call that was answered.
+func (r *Records) Finish(id once.ID, answer once.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Finish(time.Now(), id, answer)
+	r.wake(id)
+}
+
+// Lose ends a call whose outcome is not known.
+func (r *Records) Lose(id once.ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Lose(time.Now(), id)
+	r.wake(id)
+}
+
+// Release ends a call that did not run.
+func (r *Records) Release(id once.ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Release(id)
+	r.wake(id)
+}
+
+// Seal makes Begin refuse each call without a record from now on, so that what
+// Export returns is complete.
+func (r *Records) Seal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sealed = true
+}
+
+// Export returns all records; see [once.Table.Export].
+func (r *Records) Export(maxBodies int) []once.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Export(maxBodies)
+}
+
+// Import takes over records of an earlier home. It returns false when not all of
+// them fit.
+func (r *Records) Import(given []once.Record) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	kept := true
+	for _, record := range given {
+		kept = r.table.Import(now, record) && kept
+	}
+	return kept
+}
+
+// Running returns the number of calls that are running.
+func (r *Records) Running() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.ends)
+}
+
+// Size returns the number of records and the bytes of their bodies.
+func (r *Records) Size() (records, bodyBytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Len(), r.table.BodyBytes()
+}
+
+// begin returns the outcome, or the channel that is closed when the earlier call
+// ends.
+func (r *Records) begin(id once.ID, content string, knownOnly bool) (once.Outcome, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if !r.table.Has(now, id) {
+		switch {
+		case r.sealed:
+			return once.Refused{Verdict: leaving}, nil
+		case knownOnly:
+			return once.Refused{Verdict: moved}, nil
+		}
+	}
+	outcome := r.table.Begin(now, id, content)
+	switch outcome.(type) {
+	case once.Wait:
+		return nil, r.ends[id]
+	case once.Run:
+		if r.ends == nil {
+			r.ends = make(map[once.ID]chan struct{})
+		}
+		r.ends[id] = make(chan struct{})
+	}
+	return outcome, nil
+}
+
+// wake tells those that wait for the end of a call. The caller holds mu.
+func (r *Records) wake(id once.ID) {
+	if ended, ok := r.ends[id]; ok {
+		delete(r.ends, id)
+		close(ended)
+	}
+}
+
+var (
+	leaving = verdict.NotRun{
+		Rule:       "homeLeaving",
+		Detail:     "the home of the idempotency key leaves",
+		RetryAfter: time.Second,
+	}
+	moved = verdict.MayHaveRun{
+		Rule:   "homeMoved",
+		Detail: "the home of the idempotency key changed within the window; an earlier call may have run",
+	}
+)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,20 +3,27 @@
 package relay
 
 import (
+	"bytes"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
 )
 
-const bufferSize = 32 << 10
+const (
+	bufferSize = 32 << 10
+	// maxBuffered is the longest answer without a length for HTTP/1.0.
+	maxBuffered = 1 << 20
+)
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, bufferSize); return &b }}
 
 var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
@@ -40,18 +47,43 @@
 // that a short answer never looks whole. The caller closes the body.
 func Answer(w http.ResponseWriter, answer *http.Response) {
 	CopyHeader(w.Header(), answer.Header)
+	declared := make([]string, 0, len(answer.Trailer))
 	for name := range answer.Trailer {
 		w.Header().Add("Trailer", name)
+		declared = append(declared, name)
 	}
 	w.WriteHeader(answer.StatusCode)
 	if err := copyBody(w, answer.Body, answer.ContentLength < 0); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	for name, values := range answer.Trailer {
+		if !slices.Contains(declared, name) {
+			name = http.TrailerPrefix + name
+		}
 		w.Header()[name] = values
 	}
 }
 
+// AnswerTo is like [Answer] for a receiver that may speak HTTP/1.0. Such a
+// receiver sees the end of an answer without a length by the end of the
+// connection only, so a short one would look whole; the length is found out
+// first, and an answer that is too long for that breaks the connection.
+func AnswerTo(w http.ResponseWriter, r *http.Request, answer *http.Response) {
+	if r.ProtoAtLeast(1, 1) || answer.ContentLength >= 0 || r.Method == http.MethodHead {
+		Answer(w, answer)
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
+	if err != nil || len(body) > maxBuffered {
+		panic(http.ErrAbortHandler)
+	}
+	answer.Body = io.NopCloser(bytes.NewReader(body))
+	answer.ContentLength = int64(len(body))
+	answer.Header.Set("Content-Length", strconv.Itoa(len(body)))
+	answer.Trailer = nil
+	Answer(w, answer)
+}
+
 func copyBody(w http.ResponseWriter, body io.Reader, flush bool) error {
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -32,12 +32,16 @@
 
 // Headers of the callers' interface.
 const (
-	HeaderService    = "Lavenderdeal-Service"
-	HeaderTimeout    = "Lavenderdeal-Timeout"
-	HeaderChain      = "Lavenderdeal-Chain"
-	HeaderVerdict    = "Lavenderdeal-Verdict"
-	HeaderRule       = "Lavenderdeal-Rule"
-	HeaderVersion    = "Lavenderdeal-Version"
+	HeaderService = "Lavenderdeal-Service"
+	HeaderTimeout = "Lavenderdeal-Timeout"
+	HeaderChain   = "Lavenderdeal-Chain"
+	HeaderVerdict = "Lavenderdeal-Verdict"
+	HeaderRule    = "Lavenderdeal-Rule"
+	HeaderVersion = "Lavenderdeal-Version"
+	// HeaderRepeated marks the kept answer of an earlier call.
+	HeaderRepeated = "Lavenderdeal-Repeated"
+	// HeaderCustomer tells the backend server who is calling.
+	HeaderCustomer   = "Lavenderdeal-Customer"
 	HeaderRequestID  = "X-Request-Id"
 	HeaderIdempotent = "Idempotency-Key"
 	headerPrefix     = "Lavenderdeal-"
--- a/io/peercall/peercall.go
+++ b/io/peercall/peercall.go
@@ -10,14 +10,13 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"lavenderdeal/core/once"
+	"lavenderdeal/core/priority"
 	"lavenderdeal/core/verdict"
 	"lavenderdeal/internal/httpclient"
 	"lavenderdeal/internal/relay"
@@ -33,6 +32,13 @@
 	maxProblem  = 64 << 10
 	// idlePerNode bounds the idle connections kept to one node.
 	idlePerNode = 32
+	// maxCall bounds the header that describes a call, in bytes.
+	maxCall = 4 << 10
+	// maxBodyAtOnce is the longest body that is sent before the other node said
+	// that it takes the call.
+	maxBodyAtOnce = 64 << 10
+	// expectTimeout is longer than any call: the other node always answers.
+	expectTimeout = 1 * time.Hour
 )
 
 // Client calls other nodes. It is safe for use by several goroutines at once.
@@ -43,7 +49,10 @@
 
 // New returns a client that proves the key.
 func New(key secret.Key, opts ...httpclient.Option) *Client {
-	opts = append(opts, func(t *http.Transport) { t.MaxIdleConnsPerHost = idlePerNode })
+	opts = append(opts, func(t *http.Transport) {
+		t.MaxIdleConnsPerHost = idlePerNode
+		t.ExpectContinueTimeout = expectTimeout
+	})
 	return &Client{key: key, http: httpclient.New("peercall", opts...)}
 }
 
@@ -66,6 +75,11 @@
 	request.Header.Set(headerProof, c.key.Sign(r.Method, r.URL.RequestURI(), string(header)))
 	request.Host = r.Host
 	request.ContentLength = r.ContentLength
+	request.Trailer = r.Trailer
+	if r.ContentLength < 0 || r.ContentLength > maxBodyAtOnce {
+		// A refusal then leaves the body with the caller.
+		request.Header.Set("Expect", "100-continue")
+	}
 	answer, err := c.http.Do(request)
 	if err != nil {
 		return nil, nil, sendError(ctx, err)
@@ -81,16 +95,25 @@
 // Close ends the idle connections.
 func (c *Client) Close() { c.http.Close() }
 
-// Read returns the call that another node sent, after it has checked the proof.
-// The error carries the verdict NotRun.
-func Read(key secret.Key, r *http.Request) (messages.Call, error) {
+// Read returns the call that another node sent, after it has checked the proof
+// and the time at which the call was sent. The error carries the verdict NotRun.
+func Read(key secret.Key, r *http.Request, now time.Time) (messages.Call, error) {
 	var call messages.Call
 	header := r.Header.Get(headerCall)
+	if len(header) > maxCall || len(r.Header.Values(headerCall)) != 1 || len(r.Header.Values(headerProof)) != 1 {
+		return call, verdict.Refuse("peerCallMalformed", "the header that describes the call is missing, doubled or too long")
+	}
 	if !key.Verify(r.Header.Get(headerProof), r.Method, r.URL.RequestURI(), header) {
 		return call, verdict.Refuse("peerKeyRefused", "the call does not prove the key of this fleet")
 	}
 	if err := json.Unmarshal([]byte(header), &call); err != nil {
-		return call, verdict.Refuse("peerCallMalformed", err.Error())
+		return messages.Call{}, verdict.Refuse("peerCallMalformed", err.Error())
+	}
+	if call.TimeoutMillis <= 0 || call.Depth < 0 || call.Priority >= uint8(priority.Count) {
+		return messages.Call{}, verdict.Refuse("peerCallMalformed", "timeoutMillis, depth or priority is out of range")
+	}
+	if age := now.Sub(call.SentAt); age > once.MaxTransit || age < -once.MaxTransit {
+		return call, verdict.Refuse("callTooOld", "the call was sent "+age.String()+" ago by the clocks of the two nodes")
 	}
 	return call, nil
 }
@@ -125,8 +148,10 @@
 }
 
 func sendError(ctx context.Context, err error) error {
-	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
+	if !httpclient.Sent(err) {
+		if ctx.Err() != nil {
+			return verdict.Refuse("deadlinePassed", "no connection to the node of the backend server was made in time")
+		}
 		return verdict.Refuse("peerUnreachable", err.Error())
 	}
 	if ctx.Err() != nil {
--- a/schema/messages/messages.gen.go
+++ b/schema/messages/messages.gen.go
@@ -43,8 +43,27 @@
 	Version uint64 `json:"version" yaml:"version"`
 }
 
+// Asks a node of a service for what it knows of the homes of the service's
+// idempotency keys.
+type AskHomes struct {
+	// Epoch that the sender has, or 0.
+	Epoch uint64 `json:"epoch" yaml:"epoch"`
+
+	// From corresponds to the JSON schema field "from".
+	From string `json:"from" yaml:"from"`
+
+	// Epoch that the sender is about to write, or 0.
+	Prepare uint64 `json:"prepare,omitempty,omitzero" yaml:"prepare,omitempty"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service" yaml:"service"`
+}
+
 // What a node tells the next one about a call. It travels in a header.
 type Call struct {
+	// Stands for the method, the path and the body of a call with an idempotency key.
+	Content string `json:"content,omitempty,omitzero" yaml:"content,omitempty"`
+
 	// Customer corresponds to the JSON schema field "customer".
 	Customer string `json:"customer" yaml:"customer"`
 
@@ -54,15 +73,24 @@
 	// Id of the whole request, the same at every depth.
 	Id string `json:"id" yaml:"id"`
 
+	// Idempotency key, or empty.
+	Key string `json:"key,omitempty,omitzero" yaml:"key,omitempty"`
+
 	// Priority corresponds to the JSON schema field "priority".
 	Priority uint8 `json:"priority" yaml:"priority"`
 
+	// When the first node sent the call, by its clock.
+	SentAt time.Time `json:"sentAt,omitempty,omitzero" yaml:"sentAt,omitempty"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service" yaml:"service"`
 
 	// Time left until the deadline, in milliseconds.
 	TimeoutMillis int64 `json:"timeoutMillis" yaml:"timeoutMillis"`
 
+	// Id of the node that is meant.
+	To string `json:"to,omitempty,omitzero" yaml:"to,omitempty"`
+
 	// Version of the plans under which the call was decided.
 	Version uint64 `json:"version" yaml:"version"`
 }
@@ -148,6 +176,23 @@
 	Version uint64 `json:"version" yaml:"version"`
 }
 
+// Records of a home that leaves, for the next home of their keys.
+type HandOver struct {
+	// From corresponds to the JSON schema field "from".
+	From string `json:"from" yaml:"from"`
+
+	// Records corresponds to the JSON schema field "records".
+	Records []KeyRecord `json:"records" yaml:"records"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service" yaml:"service"`
+}
+
+type HandedOver struct {
+	// All records were kept.
+	Kept bool `json:"kept" yaml:"kept"`
+}
+
 // Head that a node holds, and what it knows of the platform.
 type HeldHead struct {
 	// Hash corresponds to the JSON schema field "hash".
@@ -182,6 +227,24 @@
 	Proof []byte `json:"proof" yaml:"proof"`
 }
 
+// What a node knows of the homes of its own service.
+type HomesState struct {
+	// Epoch corresponds to the JSON schema field "epoch".
+	Epoch uint64 `json:"epoch" yaml:"epoch"`
+
+	// The object as the platform keeps it, when the sender has an older one.
+	Homes []byte `json:"homes,omitempty,omitzero" yaml:"homes,omitempty"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `json:"id" yaml:"id"`
+
+	// Time since the platform last confirmed this epoch, or -1.
+	PlatformAgeMillis int64 `json:"platformAgeMillis" yaml:"platformAgeMillis"`
+
+	// Highest epoch that somebody is about to write, or 0.
+	Prepared uint64 `json:"prepared" yaml:"prepared"`
+}
+
 // A new node asks for all members, page by page.
 type Join struct {
 	// Last id of the page before, or empty.
@@ -211,6 +274,29 @@
 	Version uint64 `json:"version" yaml:"version"`
 }
 
+type KeyRecord struct {
+	// Body corresponds to the JSON schema field "body".
+	Body []byte `json:"body,omitempty,omitzero" yaml:"body,omitempty"`
+
+	// Content corresponds to the JSON schema field "content".
+	Content string `json:"content" yaml:"content"`
+
+	// Customer corresponds to the JSON schema field "customer".
+	Customer string `json:"customer" yaml:"customer"`
+
+	// The body is no longer kept.
+	Dropped bool `json:"dropped,omitempty,omitzero" yaml:"dropped,omitempty"`
+
+	// Header corresponds to the JSON schema field "header".
+	Header map[string][]string `json:"header,omitempty,omitzero" yaml:"header,omitempty"`
+
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key" yaml:"key"`
+
+	// Status of the answer, or 0 when the outcome is not known.
+	Status int `json:"status" yaml:"status"`
+}
+
 type KnownBucket struct {
 	// Bucket corresponds to the JSON schema field "bucket".
 	Bucket int `json:"bucket" yaml:"bucket"`
@@ -301,6 +387,9 @@
 	// Announce corresponds to the JSON schema field "announce".
 	Announce *Announce `json:"announce,omitempty,omitzero" yaml:"announce,omitempty"`
 
+	// AskHomes corresponds to the JSON schema field "askHomes".
+	AskHomes *AskHomes `json:"askHomes,omitempty,omitzero" yaml:"askHomes,omitempty"`
+
 	// Call corresponds to the JSON schema field "call".
 	Call *Call `json:"call,omitempty,omitzero" yaml:"call,omitempty"`
 
@@ -325,12 +414,21 @@
 	// Gossip corresponds to the JSON schema field "gossip".
 	Gossip *Gossip `json:"gossip,omitempty,omitzero" yaml:"gossip,omitempty"`
 
+	// HandOver corresponds to the JSON schema field "handOver".
+	HandOver *HandOver `json:"handOver,omitempty,omitzero" yaml:"handOver,omitempty"`
+
+	// HandedOver corresponds to the JSON schema field "handedOver".
+	HandedOver *HandedOver `json:"handedOver,omitempty,omitzero" yaml:"handedOver,omitempty"`
+
 	// HeldHead corresponds to the JSON schema field "heldHead".
 	HeldHead *HeldHead `json:"heldHead,omitempty,omitzero" yaml:"heldHead,omitempty"`
 
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero" yaml:"hello,omitempty"`
 
+	// HomesState corresponds to the JSON schema field "homesState".
+	HomesState *HomesState `json:"homesState,omitempty,omitzero" yaml:"homesState,omitempty"`
+
 	// Join corresponds to the JSON schema field "join".
 	Join *Join `json:"join,omitempty,omitzero" yaml:"join,omitempty"`
 
--- a/schema/objects/objects.gen.go
+++ b/schema/objects/objects.gen.go
@@ -29,6 +29,36 @@
 	Version uint64 `json:"version" yaml:"version"`
 }
 
+// One node that is, was or will be a home.
+type HomeEntry struct {
+	// Its records went to the next homes before it was removed.
+	HandedOver bool `json:"handedOver,omitempty,omitzero" yaml:"handedOver,omitempty"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `json:"id" yaml:"id"`
+
+	// Address of the node for peers.
+	Peer netip.AddrPort `json:"peer" yaml:"peer"`
+
+	// From when on keys go elsewhere. The zero time while it stays.
+	RemovedAt time.Time `json:"removedAt" yaml:"removedAt"`
+
+	// First use of the keys that it takes, RFC 3339.
+	Since time.Time `json:"since" yaml:"since"`
+}
+
+// The nodes among which the idempotency keys of one service are divided.
+type Homes struct {
+	// Entries corresponds to the JSON schema field "entries".
+	Entries []HomeEntry `json:"entries" yaml:"entries"`
+
+	// Rises with each change.
+	Epoch uint64 `json:"epoch" yaml:"epoch"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service" yaml:"service"`
+}
+
 // A node that has not confirmed the version, and why.
 type Lag struct {
 	// Node corresponds to the JSON schema field "node".
@@ -46,6 +76,9 @@
 	// Head corresponds to the JSON schema field "head".
 	Head *Head `json:"head,omitempty,omitzero" yaml:"head,omitempty"`
 
+	// Homes corresponds to the JSON schema field "homes".
+	Homes *Homes `json:"homes,omitempty,omitzero" yaml:"homes,omitempty"`
+
 	// ZonePeers corresponds to the JSON schema field "zonePeers".
 	ZonePeers *ZonePeers `json:"zonePeers,omitempty,omitzero" yaml:"zonePeers,omitempty"`
 
