choose, eject, limit, retry: decide by load, evidence, shares and a budget

Cause: the thin choice compared two servers by a load that never aged, knew no other zone while one server of the own lived, and sent refused calls again up to three times, overload or not. Limits of plans were not enforced.

Change: choose compares up to 8 servers of the own zone by the score of vLLM's data-parallel balancing (the larger of the reported load with the own sends since, and the own calls scaled by the number of callers, here estimated), fades loads, spills to the region with hysteresis, starts new servers slowly. eject leaves a server out by what its calls show, a third of a service at most. limit enforces a plan's rate and concurrency as a share for each live server. retry sends again only at the first node, never into an overload, from a budget of 8%. All are wired into internal/calls; a call that may have run stays so after a later attempt was refused.

--- a/internal/calls/attempt.go
+++ b/internal/calls/attempt.go
@@ -4,60 +4,94 @@
 	"bytes"
 	"context"
 	"io"
-	mathrand "math/rand/v2"
 	"net/http"
 	"time"
 
+	"lavenderdeal/core/retry"
 	"lavenderdeal/core/verdict"
 	"lavenderdeal/schema/messages"
 )
 
-// attempt asks servers until one answers, or until the verdict or the rules of
-// retries forbid another attempt.
+const ruleNoServer = "noServer"
+
+// attempt asks servers until one answers, or until the rules of retries forbid
+// another attempt. The error carries the verdict on all attempts together.
 func (e *Entry) attempt(ctx context.Context, call messages.Call, r *http.Request) (*http.Response, error) {
 	body, replayable, err := replayBody(r)
 	if err != nil {
 		return nil, verdict.Refuse("bodyBroken", err.Error())
 	}
+	e.firstAttempt(call)
+	a := retry.Attempt{Depth: call.Depth, Method: r.Method}
 	var tried []string
+	var failed error
 	for {
 		answer, id, err := e.once(ctx, call, r, body(), tried)
 		if err == nil {
 			return answer, nil
 		}
+		failed = worse(failed, err)
+		if id == "" || !replayable {
+			return nil, failed
+		}
 		tried = append(tried, id)
-		_, notRun := verdict.Of(err).(verdict.NotRun)
-		if id == "" || !notRun || !replayable || len(tried) >= maxAttempts || call.Depth > 0 {
-			return nil, err
+		a.Attempts = len(tried)
+		a.Verdict = verdict.Of(err)
+		_, mayHaveRun := a.Verdict.(verdict.MayHaveRun)
+		a.MayHaveRun = a.MayHaveRun || mayHaveRun
+		if !e.mayRetry(a) {
+			return nil, failed
 		}
 		e.metrics.Add("callsRetried", 1)
 	}
 }
 
-// once asks one server. The id is that of the server, or "" when none was found.
-func (e *Entry) once(ctx context.Context, call messages.Call, r *http.Request, body io.Reader, tried []string) (*http.Response, string, error) {
-	view := e.view.Load()
-	random := [2]float64{mathrand.Float64(), mathrand.Float64()}
+func (e *Entry) firstAttempt(call messages.Call) {
+	if call.Depth > 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget.First(time.Now())
+}
+
+func (e *Entry) mayRetry(a retry.Attempt) bool {
 	e.mu.Lock()
-	server, ok := e.chooser.Pick(view, call.Service, tried, random)
-	if ok {
-		e.chooser.Sent(server.Id)
+	defer e.mu.Unlock()
+	return e.budget.Allow(time.Now(), a)
+}
+
+// worse returns the error that carries the verdict on a call after two attempts
+// that failed. That no other server was left says less than the first failure.
+func worse(earlier, later error) error {
+	if earlier == nil {
+		return later
 	}
-	e.mu.Unlock()
+	first, second := verdict.Of(earlier), verdict.Of(later)
+	if verdict.Rule(second) == ruleNoServer || retry.Worse(first, second) == first {
+		return earlier
+	}
+	return later
+}
+
+// once asks one server. The id is that of the server, or "" when none was found.
+func (e *Entry) once(ctx context.Context, call messages.Call, r *http.Request, body io.Reader, tried []string) (*http.Response, string, error) {
+	server, ok := e.pick(call.Service, tried)
 	if !ok {
-		return nil, "", verdict.RefuseFor("noServer", "no backend server of "+call.Service+" is known to take calls", time.Second)
+		return nil, "", verdict.RefuseFor(ruleNoServer, "no backend server of "+call.Service+" is known to take calls", time.Second)
 	}
+	sent := time.Now()
 	var load *messages.Load
 	var answer *http.Response
 	var err error
-	if server.Id == view.Self().Id {
+	if server.Id == e.view.Load().Self().Id {
 		answer, err = e.runner.Do(ctx, call, r, body)
+		own := e.runner.Load()
+		load = &own
 	} else {
 		answer, load, err = e.peers.Do(ctx, server.Call, call, r, body)
 	}
-	e.mu.Lock()
-	e.chooser.Answered(server.Id, load)
-	e.mu.Unlock()
+	e.ended(ctx, server.Id, sent, load, err)
 	return answer, server.Id, err
 }
 
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -21,9 +21,11 @@
 	"time"
 
 	"lavenderdeal/core/choose"
+	"lavenderdeal/core/explain"
 	"lavenderdeal/core/fleet"
 	"lavenderdeal/core/plans"
 	"lavenderdeal/core/priority"
+	"lavenderdeal/core/retry"
 	"lavenderdeal/core/verdict"
 	"lavenderdeal/internal/homes"
 	"lavenderdeal/internal/inforce"
@@ -37,8 +39,7 @@
 
 const (
 	// maxDepth is the longest chain of calls that is served.
-	maxDepth    = 16
-	maxAttempts = 3
+	maxDepth = 16
 	// versionWait is how long a call waits for the version under which it was
 	// decided.
 	versionWait = 500 * time.Millisecond
@@ -57,14 +58,27 @@
 	homes   *homes.Loop
 	leaving atomic.Bool
 
-	// mu guards chooser and is never held during a call.
+	ring *explain.Ring
+
+	// mu guards chooser and budget and is never held during a call.
 	mu      sync.Mutex
 	chooser choose.Chooser
+	budget  retry.Budget
 }
 
+// EntryOption changes an entry while it is built.
+type EntryOption func(*Entry)
+
+// WithRing sets where the entry explains which servers it left out.
+func WithRing(ring *explain.Ring) EntryOption { return func(e *Entry) { e.ring = ring } }
+
 // NewEntry returns an entry.
-func NewEntry(held *inforce.Plans, view *atomic.Pointer[fleet.View], runner *Runner, peers *peercall.Client, key secret.Key, m *metrics.Set) *Entry {
-	return &Entry{plans: held, view: view, runner: runner, peers: peers, key: key, metrics: m, homes: runner.homes}
+func NewEntry(held *inforce.Plans, view *atomic.Pointer[fleet.View], runner *Runner, peers *peercall.Client, key secret.Key, m *metrics.Set, opts ...EntryOption) *Entry {
+	e := &Entry{plans: held, view: view, runner: runner, peers: peers, key: key, metrics: m, homes: runner.homes}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
 }
 
 // ServeHTTP answers a call of an outside caller or of the own backend server.
--- /dev/null
+++ b/internal/calls/choice_test.go
@@ -0,0 +1,55 @@
+package calls
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"lavenderdeal/core/eject"
+	"lavenderdeal/core/verdict"
+)
+
+func wantRule(t *testing.T, err error, rule string) {
+	t.Helper()
+	if got := verdict.Rule(verdict.Of(err)); got != rule {
+		t.Errorf("rule %s, want %s", got, rule)
+	}
+}
+
+func TestWorse(t *testing.T) {
+	broke := verdict.Unknown("serverBroke", "", nil)
+	unreachable := verdict.Refuse("peerUnreachable", "")
+	full := verdict.Refuse("queueFull", "")
+	t.Run("first failure", func(t *testing.T) { wantRule(t, worse(nil, full), "queueFull") })
+	t.Run("the first attempt may have run", func(t *testing.T) { wantRule(t, worse(broke, full), "serverBroke") })
+	t.Run("the second attempt may have run", func(t *testing.T) { wantRule(t, worse(unreachable, broke), "serverBroke") })
+	t.Run("no other server", func(t *testing.T) {
+		wantRule(t, worse(unreachable, verdict.Refuse(ruleNoServer, "")), "peerUnreachable")
+	})
+	t.Run("the second attempt refused", func(t *testing.T) { wantRule(t, worse(unreachable, full), "queueFull") })
+}
+
+func TestEvidence(t *testing.T) {
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	tests := []struct {
+		name string
+		ctx  context.Context
+		err  error
+		want eject.Evidence
+	}{
+		{"answer", t.Context(), nil, eject.Answered{}},
+		{"refusal", t.Context(), verdict.Refuse("queueFull", ""), eject.Answered{}},
+		{"unreachable", t.Context(), verdict.Refuse("serverUnreachable", ""), eject.Failed{}},
+		{"broken", t.Context(), verdict.Unknown("peerBroke", "", nil), eject.Failed{}},
+		{"time-out", t.Context(), verdict.Unknown("deadlinePassed", "", nil), eject.TimedOut{Took: time.Second}},
+		{"the caller left", gone, verdict.Unknown("deadlinePassed", "", nil), nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := evidenceOf(tt.ctx, time.Second, tt.err); got != tt.want {
+				t.Errorf("evidence %#v, want %#v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/calls/keyed.go
+++ b/internal/calls/keyed.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lavenderdeal/core/home"
+	"lavenderdeal/core/limit"
 	"lavenderdeal/core/once"
 	"lavenderdeal/core/verdict"
 	"lavenderdeal/internal/homes"
@@ -78,14 +79,13 @@
 	if !ok || server.State == messages.MemberStateFailed {
 		return nil, verdict.RefuseFor("homeUnreachable", "the home of the idempotency key is not known to live", time.Second)
 	}
+	sent := time.Now()
 	e.mu.Lock()
-	e.chooser.Sent(id)
+	e.chooser.Sent(sent, id)
 	e.mu.Unlock()
 	call.To = id
 	answer, load, err := e.peers.Do(ctx, server.Call, call, r, body)
-	e.mu.Lock()
-	e.chooser.Answered(id, load)
-	e.mu.Unlock()
+	e.ended(ctx, id, sent, load, err)
 	return answer, err
 }
 
@@ -107,7 +107,7 @@
 
 // runKeyed runs a call with an idempotency key at the home of its key, or
 // answers it from the record.
-func (r *Runner) runKeyed(ctx context.Context, call messages.Call, request *http.Request, body io.Reader) (*http.Response, error) {
+func (r *Runner) runKeyed(ctx context.Context, call messages.Call, limits limit.Limits, request *http.Request, body io.Reader) (*http.Response, error) {
 	id := once.ID{Customer: call.Customer, Key: call.Key}
 	knownOnly, err := r.homes.Own(home.ParseKey(call.Customer, call.Key))
 	if err != nil {
@@ -126,7 +126,7 @@
 			r.records.Lose(id)
 		}
 	}()
-	answer, err := r.run(ctx, call, request, body)
+	answer, err := r.runLimited(ctx, call, limits, request, body)
 	ended = true
 	if err == nil {
 		answer.Body = &recordedBody{ReadCloser: answer.Body, runner: r, id: id, answer: answer}
--- /dev/null
+++ b/internal/calls/limits.go
@@ -0,0 +1,80 @@
+package calls
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"lavenderdeal/core/limit"
+	"lavenderdeal/core/plans"
+	"lavenderdeal/core/verdict"
+	"lavenderdeal/schema/messages"
+)
+
+func limitsOf(d plans.Decision) limit.Limits {
+	if allowed, ok := d.(plans.Allowed); ok {
+		return limit.Limits{CallsPerSecond: allowed.CallsPerSecond, Concurrent: allowed.Concurrent}
+	}
+	return limit.Limits{}
+}
+
+// takeLimit counts a call against this server's share of its customer's limits.
+func (r *Runner) takeLimit(call messages.Call, l limit.Limits) error {
+	if l == (limit.Limits{}) {
+		return nil
+	}
+	servers := 1
+	if r.view != nil {
+		servers = len(r.view.Load().Servers(call.Service))
+	}
+	r.mu.Lock()
+	refused, ok := r.limits.Take(time.Now(), call.Customer, l, servers)
+	r.mu.Unlock()
+	if ok {
+		return nil
+	}
+	return verdict.RefuseFor(refused.Rule, "customer "+call.Customer+" has used this server's share of its limit", refused.RetryAfter)
+}
+
+// releaseLimit ends the call in the count when its answer has been read, or at
+// once when it has none.
+func (r *Runner) releaseLimit(call messages.Call, l limit.Limits, answer *http.Response, err error) (*http.Response, error) {
+	if l == (limit.Limits{}) {
+		return answer, err
+	}
+	release := func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.limits.Release(call.Customer)
+	}
+	if err != nil {
+		release()
+		return nil, err
+	}
+	answer.Body = &limitBody{ReadCloser: answer.Body, release: sync.OnceFunc(release)}
+	return answer, nil
+}
+
+// limitBody ends a call in the count of its customer when the answer has been
+// read.
+type limitBody struct {
+	io.ReadCloser
+	release func()
+}
+
+func (b *limitBody) Close() error {
+	defer b.release()
+	return b.ReadCloser.Close()
+}
+
+// noteShed tells the queue that the backend server itself refused a call for
+// want of room.
+func (r *Runner) noteShed(answer *http.Response) {
+	if answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.queue.Shed()
+}
--- a/internal/calls/runner.go
+++ b/internal/calls/runner.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"lavenderdeal/core/admission"
+	"lavenderdeal/core/fleet"
+	"lavenderdeal/core/limit"
 	"lavenderdeal/core/plans"
 	"lavenderdeal/core/verdict"
 	"lavenderdeal/internal/homes"
@@ -29,22 +31,30 @@
 	server  *server.Client
 	key     secret.Key
 	metrics *metrics.Set
+	view    *atomic.Pointer[fleet.View]
 	homes   *homes.Loop
 	records *records.Records
 	// lastPeerCall is when the newest call of another node came, in nanoseconds
 	// since 1970.
 	lastPeerCall atomic.Int64
 
-	// mu guards the queue and the waiting calls and is never held during a call.
+	// mu guards the queue, the waiting calls and the limits and is never held during a call.
 	mu      sync.Mutex
 	queue   *admission.Queue
 	lastID  uint64
 	waiting map[uint64]chan admission.Outcome
+	limits  limit.Table
 }
 
 // RunnerOption changes a runner while it is built.
 type RunnerOption func(*Runner)
 
+// WithFleet sets where the runner sees how many servers share a limit. Without
+// it each server has the whole limit.
+func WithFleet(view *atomic.Pointer[fleet.View]) RunnerOption {
+	return func(r *Runner) { r.view = view }
+}
+
 // WithHomes sets where the runner learns of which idempotency keys its node is
 // the home, and where it keeps their records. Without it calls with a key are
 // refused.
@@ -119,13 +129,23 @@
 	if refused, ok := decision.(plans.Refused); ok {
 		return nil, verdict.Refuse(refused.Rule, refused.Detail)
 	}
+	limits := limitsOf(decision)
 	if call.Key == "" {
-		return r.run(ctx, call, request, body)
+		return r.runLimited(ctx, call, limits, request, body)
 	}
 	if r.homes == nil {
 		return nil, verdict.Refuse("keysUnsupported", "this node keeps no records of idempotency keys")
 	}
-	return r.runKeyed(ctx, call, request, body)
+	return r.runKeyed(ctx, call, limits, request, body)
+}
+
+// runLimited runs a call that its customer's limits allow.
+func (r *Runner) runLimited(ctx context.Context, call messages.Call, limits limit.Limits, request *http.Request, body io.Reader) (*http.Response, error) {
+	if err := r.takeLimit(call, limits); err != nil {
+		return nil, err
+	}
+	answer, err := r.run(ctx, call, request, body)
+	return r.releaseLimit(call, limits, answer, err)
 }
 
 // run runs a call that may run. No other package part sends to the backend
@@ -157,6 +177,7 @@
 	}
 	sending = true
 	r.metrics.Add("callsRun", 1)
+	r.noteShed(answer)
 	answer.Body = &slotBody{ReadCloser: answer.Body, cancel: cancel, free: free}
 	return answer, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,8 +158,8 @@
 	n.homes.Handle(&mux)
 	n.view.Store(&fleet.View{})
 	n.runner = calls.NewRunner(&n.plans, serverClient, n.cfg.Server.Slots, key, n.metrics,
-		calls.WithHomes(n.homes, &n.records))
-	n.entry = calls.NewEntry(&n.plans, &n.view, n.runner, peerClient, key, n.metrics)
+		calls.WithFleet(&n.view), calls.WithHomes(n.homes, &n.records))
+	n.entry = calls.NewEntry(&n.plans, &n.view, n.runner, peerClient, key, n.metrics, calls.WithRing(n.ring))
 
 	var err error
 	if n.callServer, err = httpserver.Start(n.cfg.Listen.Call, n.runner); err != nil {
