quarantine, crashes: keep away the calls that end their servers

Cause: a call that crashes its backend server was sent again until every server of the service had crashed.

Change: the server's node knows which calls ran when connections broke and the server refused new ones, or all calls broke at once. It reports them to the nodes of the service. A fingerprint (customer, service, method, URI, body up to 64 KiB) that ran in crashes of two servers, and most of whose known runs ended so, is refused for 10 minutes as notRun "quarantined", shown with its evidence in /status and /explain, lifted by time or POST /quarantine/lift. Equals are told apart by the next crash; after three crashes all of them go. A call that may have run is sent again once at most, so that one call cannot end three servers. trial runs its backend servers as processes that can crash.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -34,6 +34,9 @@
 	startTokens    = 5
 	// maxAttempts bounds the attempts of one call, the first included.
 	maxAttempts = 3
+	// maxUnknown bounds the attempts of a call that may have run: such a call
+	// may be what ended its server.
+	maxUnknown = 2
 )
 
 // Budget is the number of further attempts that a node may make. The zero value
@@ -97,7 +100,7 @@
 		}
 		return isElsewhereDifferent(v.Rule)
 	case verdict.MayHaveRun:
-		return IsIdempotent(a.Method) && v.Rule != "deadlinePassed"
+		return IsIdempotent(a.Method) && v.Rule != "deadlinePassed" && a.Attempts < maxUnknown
 	}
 	return false
 }
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -48,6 +48,9 @@
 		}
 		wantAllowed(t, Attempt{Method: "GET", Verdict: verdict.MayHaveRun{Rule: "deadlinePassed"}}, false)
 	})
+	t.Run("once after an attempt that may have run", func(t *testing.T) {
+		wantAllowed(t, Attempt{Method: "GET", Verdict: broke, Attempts: maxUnknown}, false)
+	})
 	t.Run("a few attempts for a call", func(t *testing.T) {
 		wantAllowed(t, Attempt{Method: "GET", Verdict: unreachable, Attempts: maxAttempts}, false)
 	})
--- a/internal/calls/admit.go
+++ b/internal/calls/admit.go
@@ -55,6 +55,9 @@
 
 // done frees the slot of a call and starts the next one.
 func (r *Runner) done(id uint64) {
+	if r.watch != nil {
+		r.watch.End(id)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.queue.Done(time.Now(), id)
--- a/internal/calls/choice.go
+++ b/internal/calls/choice.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// Ejected returns the servers that get no calls now.
+func (e *Entry) Ejected() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.chooser.Ejected(time.Now())
+}
+
 func (e *Entry) explain(now time.Time, c choose.Change) {
 	record := explain.Record{At: now, Kind: "serverReturned", Subject: c.ID, Detail: c.Why}
 	if c.Ejected {
--- a/internal/calls/limits.go
+++ b/internal/calls/limits.go
@@ -67,14 +67,3 @@
 	defer b.release()
 	return b.ReadCloser.Close()
 }
-
-// noteShed tells the queue that the backend server itself refused a call for
-// want of room.
-func (r *Runner) noteShed(answer *http.Response) {
-	if answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.queue.Shed()
-}
--- a/internal/calls/runner.go
+++ b/internal/calls/runner.go
@@ -13,6 +13,7 @@
 	"lavenderdeal/core/limit"
 	"lavenderdeal/core/plans"
 	"lavenderdeal/core/verdict"
+	"lavenderdeal/internal/crashes"
 	"lavenderdeal/internal/homes"
 	"lavenderdeal/internal/inforce"
 	"lavenderdeal/internal/metrics"
@@ -32,6 +33,7 @@
 	key     secret.Key
 	metrics *metrics.Set
 	view    *atomic.Pointer[fleet.View]
+	watch   *crashes.Watch
 	homes   *homes.Loop
 	records *records.Records
 	// lastPeerCall is when the newest call of another node came, in nanoseconds
@@ -62,6 +64,12 @@
 	return func(runner *Runner) { runner.homes, runner.records = h, r }
 }
 
+// WithCrashes sets who watches for calls that end the backend server. Without it
+// no call is quarantined.
+func WithCrashes(watch *crashes.Watch) RunnerOption {
+	return func(r *Runner) { r.watch = watch }
+}
+
 // NewRunner returns a runner for a backend server with a number of slots.
 func NewRunner(held *inforce.Plans, client *server.Client, slots int, key secret.Key, m *metrics.Set, opts ...RunnerOption) *Runner {
 	r := &Runner{
@@ -151,6 +159,10 @@
 // run runs a call that may run. No other package part sends to the backend
 // server.
 func (r *Runner) run(ctx context.Context, call messages.Call, request *http.Request, body io.Reader) (*http.Response, error) {
+	watched, body, err := r.checkCall(call, request, body)
+	if err != nil {
+		return nil, err
+	}
 	slot, err := r.admit(ctx, call)
 	if err != nil {
 		return nil, err
@@ -166,18 +178,22 @@
 	if ctx.Err() != nil {
 		return nil, verdict.Refuse("callerGone", "the caller left or its deadline passed before the call was sent to the backend server")
 	}
+	if err := r.beginCall(slot, watched); err != nil {
+		return nil, err
+	}
 	cancel := context.CancelFunc(func() {})
 	if call.Key != "" {
 		ctx, cancel = keepRunning(ctx)
 	}
 	answer, err := r.server.Do(ctx, call, request, body, r.chain(ctx, call))
 	if err != nil {
+		r.callFailed(ctx, slot, err)
 		cancel()
 		return nil, err
 	}
 	sending = true
 	r.metrics.Add("callsRun", 1)
-	r.noteShed(answer)
+	r.callAnswered(slot, answer)
 	answer.Body = &slotBody{ReadCloser: answer.Body, cancel: cancel, free: free}
 	return answer, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"lavenderdeal/core/explain"
 	"lavenderdeal/core/fleet"
 	"lavenderdeal/internal/calls"
+	"lavenderdeal/internal/crashes"
 	"lavenderdeal/internal/follow"
 	"lavenderdeal/internal/homes"
 	"lavenderdeal/internal/httpclient"
@@ -59,6 +60,7 @@
 	records  records.Records
 	entry    *calls.Entry
 	runner   *calls.Runner
+	watch    *crashes.Watch
 	closers  []func()
 
 	peerOptions []peer.Option
@@ -114,6 +116,7 @@
 	n.group.Go(func() error { return n.members.Run(ctx) })
 	n.group.Go(func() error { return n.follower.Run(ctx) })
 	n.group.Go(func() error { return n.homes.Run(ctx) })
+	n.group.Go(func() error { return n.watch.Run(ctx) })
 	n.group.Go(func() error { return n.becomeReady(ctx) })
 	return n, nil
 }
@@ -157,8 +160,10 @@
 	n.follower.Handle(&mux)
 	n.homes.Handle(&mux)
 	n.view.Store(&fleet.View{})
+	n.watch = &crashes.Watch{Server: n.cfg.Server.Address, View: &n.view, Ring: n.ring, Metrics: n.metrics}
+	n.watch.Handle(&mux)
 	n.runner = calls.NewRunner(&n.plans, serverClient, n.cfg.Server.Slots, key, n.metrics,
-		calls.WithFleet(&n.view), calls.WithHomes(n.homes, &n.records))
+		calls.WithFleet(&n.view), calls.WithHomes(n.homes, &n.records), calls.WithCrashes(n.watch))
 	n.entry = calls.NewEntry(&n.plans, &n.view, n.runner, peerClient, key, n.metrics, calls.WithRing(n.ring))
 
 	var err error
@@ -168,14 +173,15 @@
 	if n.callerServer, err = httpserver.Start(n.cfg.Listen.Caller, n.entry); err != nil {
 		return err
 	}
-	handler := &operator.Handler{Status: n.Status, Ring: n.ring, Metrics: n.metrics.Map(), Key: n.cfg.OperatorKey, Counters: n.metrics}
+	handler := &operator.Handler{Status: n.Status, Ring: n.ring, Metrics: n.metrics.Map(), Key: n.cfg.OperatorKey, Counters: n.metrics, Quarantine: n.watch}
 	if n.operatorServer, err = httpserver.Start(n.cfg.Listen.Operator, handler); err != nil {
 		return err
 	}
 	if n.endpoint, err = peer.Listen(n.cfg.Listen.Peer, key, &mux, n.peerOptions...); err != nil {
 		return err
 	}
-	n.members.Endpoint, n.follower.Endpoint, n.homes.Endpoint = n.endpoint, n.endpoint, n.endpoint
+	n.members.Endpoint, n.follower.Endpoint = n.endpoint, n.endpoint
+	n.homes.Endpoint, n.watch.Endpoint = n.endpoint, n.endpoint
 	return nil
 }
 
@@ -204,7 +210,7 @@
 	status := operator.Status{
 		ID: self.Id, Zone: self.Zone, Region: self.Region, Service: self.Service,
 		State: string(self.State), Version: n.plans.Number(), Members: map[string]int{}, Release: Release,
-		Reader: n.follower.IsReader(),
+		Reader: n.follower.IsReader(), Ejected: n.entry.Ejected(), Quarantined: n.watch.Entries(),
 	}
 	status.VersionSource, _ = n.follower.Ready()
 	for _, m := range view.Members() {
@@ -216,6 +222,10 @@
 // ID returns the id of the node's process.
 func (n *Node) ID() string { return n.view.Load().Self().Id }
 
+// LiftQuarantine lets calls with the fingerprint run again on this node. It
+// returns false when the fingerprint is not in quarantine.
+func (n *Node) LiftQuarantine(fingerprint string) bool { return n.watch.Lift(fingerprint) }
+
 // Version returns the version of the plans in force, or 0.
 func (n *Node) Version() uint64 { return n.plans.Number() }
 
--- a/internal/standin/backend/process.go
+++ b/internal/standin/backend/process.go
@@ -59,6 +59,22 @@
 	}
 }
 
+// Restart ends the server without notice and starts it again at the same
+// address. It returns once the server listens.
+func (p *Process) Restart() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.http.Close(); err != nil {
+		return err
+	}
+	s, err := httpserver.Start(p.addr, p.server)
+	if err != nil {
+		return err
+	}
+	p.http = s
+	return nil
+}
+
 // Close ends the process.
 func (p *Process) Close() error {
 	p.cancel()
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -34,10 +34,12 @@
 const (
 	pollPeriod      = 5 * time.Millisecond
 	platformTimeout = 2 * time.Second
-	drainAnnounce   = 3 * time.Second
-	drainFinish     = 60 * time.Second
-	seedsPerZone    = 2
-	peerKey         = "trial-peer-key-0123456789"
+	// crashTime is how long a backend server is down after a crash.
+	crashTime     = 200 * time.Millisecond
+	drainAnnounce = 3 * time.Second
+	drainFinish   = 60 * time.Second
+	seedsPerZone  = 2
+	peerKey       = "trial-peer-key-0123456789"
 )
 
 // Ports of an instance, counted from the first port of its fleet. An instance
@@ -105,13 +107,13 @@
 	Zone   int
 	Config settings.Settings
 
-	listener *httpserver.Server
-	running  bool
+	process *backend.Process
+	running bool
 }
 
 type backendServer struct {
-	server   *backend.Server
-	listener *httpserver.Server
+	server  *backend.Server
+	process *backend.Process
 }
 
 // Start starts the platform with a first version of the lists, and all
@@ -159,14 +161,14 @@
 	addr := cuts.Addr(zone, number).Addr()
 	i := &Instance{Zone: zone}
 	name := fmt.Sprintf("%s-%s-%d", z.Name, service.Name, number)
-	server, listener, err := f.backend(name, service, f.at(addr, serverPort))
+	server, process, err := f.backend(name, service, f.at(addr, serverPort))
 	if err != nil {
 		return nil, err
 	}
-	i.Server, i.listener = server, listener
+	i.Server, i.process = server, process
 	i.Config = settings.Settings{
 		Zone: z.Name, Region: z.Region, Service: service.Name,
-		Server: settings.Server{Address: listener.Addr(), Slots: service.Slots, Connections: service.Connections, HealthPath: "/health"},
+		Server: settings.Server{Address: process.Addr(), Slots: service.Slots, Connections: service.Connections, HealthPath: "/health"},
 		Listen: settings.Listen{
 			Caller: f.at(addr, callerPort), Peer: f.at(addr, peerPort), Call: f.at(addr, callPort), Operator: f.at(addr, operatorPort),
 		},
@@ -196,16 +198,16 @@
 	return seeds
 }
 
-func (f *Fleet) backend(name string, service Service, addr netip.AddrPort) (*backend.Server, *httpserver.Server, error) {
+func (f *Fleet) backend(name string, service Service, addr netip.AddrPort) (*backend.Server, *backend.Process, error) {
 	if f.shared != nil {
-		return f.shared.server, f.shared.listener, nil
+		return f.shared.server, f.shared.process, nil
 	}
 	server := backend.New(name, service.Slots)
-	listener, err := httpserver.Start(addr, server)
+	process, err := backend.StartProcess(addr, server, crashTime)
 	if err == nil && f.Shape.SharedServer {
-		f.shared = &backendServer{server: server, listener: listener}
+		f.shared = &backendServer{server: server, process: process}
 	}
-	return server, listener, err
+	return server, process, err
 }
 
 // StartNode starts the node of an instance, as a new process would.
@@ -242,18 +244,10 @@
 
 // RestartServer ends the backend server of an instance without notice and starts
 // it again at the same address.
-func (f *Fleet) RestartServer(i *Instance) error {
-	addr := i.listener.Addr()
-	if err := i.listener.Close(); err != nil {
-		return err
-	}
-	listener, err := httpserver.Start(addr, i.Server)
-	if err != nil {
-		return err
-	}
-	i.listener = listener
-	return nil
-}
+func (f *Fleet) RestartServer(i *Instance) error { return i.process.Restart() }
+
+// Crashes returns how often the backend server of an instance has crashed.
+func (f *Fleet) Crashes(i *Instance) int { return i.process.Crashes() }
 
 // Apply writes a new version of the lists.
 func (f *Fleet) Apply(ctx context.Context, customers lists.CustomerList, plans lists.PlanList) (objects.Head, error) {
@@ -312,7 +306,7 @@
 		i.Node.Kill()
 	}
 	for _, i := range f.Instances {
-		_ = i.listener.Close()
+		_ = i.process.Close()
 	}
 	_ = f.platform.Close()
 }
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -27,6 +27,7 @@
 	"strings"
 
 	"lavenderdeal/core/explain"
+	"lavenderdeal/core/quarantine"
 	"lavenderdeal/internal/metrics"
 )
 
@@ -48,6 +49,11 @@
 	Reader  bool           `json:"reader"`
 	Members map[string]int `json:"membersByState"`
 	Release string         `json:"release"`
+	// Ejected are the servers that get no calls of this node for a while.
+	Ejected []string `json:"ejected"`
+	// Quarantined are the fingerprints whose calls this node refuses, with the
+	// evidence.
+	Quarantined []quarantine.Entry `json:"quarantined"`
 }
 
 // Quarantine is the node's list of fingerprints whose calls are refused.
--- a/schema/messages/messages.gen.go
+++ b/schema/messages/messages.gen.go
@@ -131,6 +131,18 @@
 	Version uint64 `json:"version" yaml:"version"`
 }
 
+// A backend server ended while calls ran there.
+type Crash struct {
+	// Counts the crashes that the node has seen.
+	Sequence uint64 `json:"sequence" yaml:"sequence"`
+
+	// Id of the node beside the backend server.
+	Server string `json:"server" yaml:"server"`
+
+	// Suspects corresponds to the JSON schema field "suspects".
+	Suspects []Suspect `json:"suspects" yaml:"suspects"`
+}
+
 // Replaces one hash in a list of chunks.
 type Edit struct {
 	// Hash corresponds to the JSON schema field "hash".
@@ -402,6 +414,9 @@
 	// Confirm corresponds to the JSON schema field "confirm".
 	Confirm *Confirm `json:"confirm,omitempty,omitzero" yaml:"confirm,omitempty"`
 
+	// Crash corresponds to the JSON schema field "crash".
+	Crash *Crash `json:"crash,omitempty,omitzero" yaml:"crash,omitempty"`
+
 	// Empty corresponds to the JSON schema field "empty".
 	Empty Empty `json:"empty,omitempty,omitzero" yaml:"empty,omitempty"`
 
@@ -472,6 +487,18 @@
 	Reached bool `json:"reached" yaml:"reached"`
 }
 
+// A call that ran when a backend server ended.
+type Suspect struct {
+	// Calls with this fingerprint that the backend server had answered.
+	Answered int `json:"answered" yaml:"answered"`
+
+	// Fingerprint corresponds to the JSON schema field "fingerprint".
+	Fingerprint string `json:"fingerprint" yaml:"fingerprint"`
+
+	// The call in words.
+	Subject string `json:"subject" yaml:"subject"`
+}
+
 // One step of a comparison: first the zones, then what is known in the buckets
 // that differ, then the members that the other side lacks.
 type Sync struct {
