chunk, plans: cut long plans finer, refuse dot segments under path prefixes

Cause: the list of plans was cut by its number of plans, so 200 plans of 500 uses made a chunk of 3.9 MB, which the platform refuses (1 MB). A path such as /tickets/../rosters passed the prefix /tickets. Change: a plan counts as its uses, and chunks above 512 KB are cut finer; paths with . or .. segments are refused where a plan names prefixes. MaxHead has room for the most chunks of both lists.

--- a/core/chunk/chunk.go
+++ b/core/chunk/chunk.go
@@ -27,6 +27,8 @@
 const (
 	targetEntries = 128
 	maxBuckets    = 4096
+	// maxChunk is the length in bytes from which a list is cut finer.
+	maxChunk = 512 << 10
 )
 
 // Chunk is an immutable part of a list.
@@ -55,7 +57,39 @@
 // SplitCustomers cuts the list of customers. The number of buckets that the
 // last version had keeps the new number steady; 0 when there is none.
 func SplitCustomers(list lists.CustomerList, previousBuckets int) ([]Chunk, error) {
-	n := Buckets(len(list.Customers), previousBuckets)
+	return split(Buckets(len(list.Customers), previousBuckets), func(n int) []lists.CustomerList {
+		return customerParts(list, n)
+	})
+}
+
+// SplitPlans cuts the list of plans; see [SplitCustomers]. A plan counts as many
+// entries as it has uses, since those are most of its length.
+func SplitPlans(list lists.PlanList, previousBuckets int) ([]Chunk, error) {
+	entries := len(list.Services)
+	for _, p := range list.Plans {
+		entries += 1 + len(p.Uses)
+	}
+	return split(Buckets(entries, previousBuckets), func(n int) []lists.PlanList {
+		return planParts(list, n)
+	})
+}
+
+// split encodes the parts. While a chunk is too large, it takes twice as many
+// buckets; one entry that is too large by itself stays so.
+func split[T any](buckets int, parts func(n int) []T) ([]Chunk, error) {
+	for {
+		chunks, largest, err := encode(parts(buckets))
+		if err != nil {
+			return nil, err
+		}
+		if largest <= maxChunk || buckets >= maxBuckets {
+			return chunks, nil
+		}
+		buckets *= 2
+	}
+}
+
+func customerParts(list lists.CustomerList, n int) []lists.CustomerList {
 	parts := make([]lists.CustomerList, n)
 	for i := range parts {
 		parts[i].Customers = []lists.Customer{}
@@ -67,12 +101,10 @@
 	for i := range parts {
 		slices.SortFunc(parts[i].Customers, func(a, b lists.Customer) int { return cmp.Compare(a.Name, b.Name) })
 	}
-	return encode(parts)
+	return parts
 }
 
-// SplitPlans cuts the list of plans; see [SplitCustomers].
-func SplitPlans(list lists.PlanList, previousBuckets int) ([]Chunk, error) {
-	n := Buckets(max(len(list.Plans), len(list.Services)), previousBuckets)
+func planParts(list lists.PlanList, n int) []lists.PlanList {
 	parts := make([]lists.PlanList, n)
 	for i := range parts {
 		parts[i].Plans, parts[i].Services = []lists.Plan{}, []lists.Service{}
@@ -89,7 +121,7 @@
 		slices.SortFunc(parts[i].Plans, func(a, b lists.Plan) int { return cmp.Compare(a.Name, b.Name) })
 		slices.SortFunc(parts[i].Services, func(a, b lists.Service) int { return cmp.Compare(a.Name, b.Name) })
 	}
-	return encode(parts)
+	return parts
 }
 
 // Buckets returns the number of buckets for a list of n entries.
@@ -108,14 +140,15 @@
 	return int(xxhash.Sum64String(name) % uint64(n))
 }
 
-func encode[T any](parts []T) ([]Chunk, error) {
-	chunks := make([]Chunk, len(parts))
+func encode[T any](parts []T) (chunks []Chunk, largest int, err error) {
+	chunks = make([]Chunk, len(parts))
 	for i := range parts {
 		data, err := json.Marshal(parts[i])
 		if err != nil {
-			return nil, err
+			return nil, 0, err
 		}
 		chunks[i] = Of(data)
+		largest = max(largest, len(data))
 	}
-	return chunks, nil
+	return chunks, largest, nil
 }
--- /dev/null
+++ b/core/chunk/chunk_test.go
@@ -0,0 +1,155 @@
+package chunk_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lavenderdeal/core/chunk"
+	"lavenderdeal/internal/proptest"
+	"lavenderdeal/schema/lists"
+)
+
+// maxValue is the largest value that the platform keeps, in bytes.
+const maxValue = 1 << 20
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+func customers(n int) lists.CustomerList {
+	list := lists.CustomerList{}
+	for i := range n {
+		list.Customers = append(list.Customers, lists.Customer{Name: fmt.Sprintf("c%d", i), Plan: "p", KeyHashes: []string{"k"}})
+	}
+	return list
+}
+
+func split(t interface{ Fatal(...any) }, list lists.CustomerList, previous int) []chunk.Chunk {
+	chunks, err := chunk.SplitCustomers(list, previous)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return chunks
+}
+
+func TestSplitCustomers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := customers(rapid.IntRange(1, 2000).Draw(t, "customers"))
+		chunks := split(t, list, rapid.SampledFrom([]int{0, 1, 2, 64}).Draw(t, "previous"))
+
+		// The order of the list makes no difference.
+		shuffled := lists.CustomerList{Customers: slices.Clone(list.Customers)}
+		slices.Reverse(shuffled.Customers)
+		if !slices.Equal(chunk.Hashes(chunks), chunk.Hashes(split(t, shuffled, len(chunks)))) {
+			t.Fatal("the order of the list changed the chunks")
+		}
+
+		// The chunks hold the whole list.
+		names := make(map[string]bool)
+		for _, c := range chunks {
+			var part lists.CustomerList
+			if err := json.Unmarshal(c.Data, &part); err != nil {
+				t.Fatal(err)
+			}
+			for _, customer := range part.Customers {
+				names[customer.Name] = true
+			}
+		}
+		if len(names) != len(list.Customers) {
+			t.Fatalf("%d customers in the chunks, want %d", len(names), len(list.Customers))
+		}
+
+		// A change of one customer changes one chunk.
+		i := rapid.IntRange(0, len(list.Customers)-1).Draw(t, "changed")
+		list.Customers[i].Plan = "q"
+		if n := different(chunks, split(t, list, len(chunks))); n != 1 {
+			t.Fatalf("%d chunks changed, want 1", n)
+		}
+	})
+}
+
+func TestBuckets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 1_000_000).Draw(t, "entries")
+		buckets := chunk.Buckets(n, rapid.SampledFrom([]int{0, 1, 16, 4096}).Draw(t, "previous"))
+		if buckets < 1 || buckets&(buckets-1) != 0 {
+			t.Fatalf("%d buckets, want a power of two", buckets)
+		}
+		if again := chunk.Buckets(n, buckets); again != buckets {
+			t.Fatalf("%d buckets became %d without a change", buckets, again)
+		}
+		// Growing and then shrinking by less than half never goes back and forth.
+		more := chunk.Buckets(n+n/4, buckets)
+		if back := chunk.Buckets(n, more); back != more {
+			t.Fatalf("%d buckets, %d after growth and %d after shrinking again", buckets, more, back)
+		}
+	})
+}
+
+func TestSplitPlans(t *testing.T) {
+	t.Run("many long plans", func(t *testing.T) {
+		list := lists.PlanList{}
+		for i := range 500 {
+			list.Services = append(list.Services, lists.Service{Name: fmt.Sprintf("service-%d", i)})
+		}
+		for i := range 200 {
+			plan := lists.Plan{Name: fmt.Sprintf("plan-%d", i)}
+			for _, s := range list.Services {
+				plan.Uses = append(plan.Uses, lists.Use{Service: s.Name, Priority: "normal", PathPrefixes: []string{"/some/path"}})
+			}
+			list.Plans = append(list.Plans, plan)
+		}
+		chunks, err := chunk.SplitPlans(list, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertFit(t, chunks)
+		list.Plans[7].Uses[3].Priority = "bulk"
+		changed, err := chunk.SplitPlans(list, len(chunks))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := different(chunks, changed); n != 1 {
+			t.Errorf("%d of %d chunks changed, want 1", n, len(chunks))
+		}
+	})
+	t.Run("few plans with long paths", func(t *testing.T) {
+		list := lists.PlanList{}
+		for i := range 20 {
+			plan := lists.Plan{Name: fmt.Sprintf("plan-%d", i), Uses: []lists.Use{{Service: "s", Priority: "normal"}}}
+			for range 64 {
+				plan.Uses[0].PathPrefixes = append(plan.Uses[0].PathPrefixes, fmt.Sprintf("/%04000d", i))
+			}
+			list.Plans = append(list.Plans, plan)
+		}
+		chunks, err := chunk.SplitPlans(list, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertFit(t, chunks)
+	})
+}
+
+func different(a, b []chunk.Chunk) int {
+	if len(a) != len(b) {
+		return max(len(a), len(b))
+	}
+	n := 0
+	for i := range a {
+		if a[i].Hash != b[i].Hash {
+			n++
+		}
+	}
+	return n
+}
+
+func assertFit(t *testing.T, chunks []chunk.Chunk) {
+	t.Helper()
+	for _, c := range chunks {
+		if len(c.Data) > maxValue {
+			t.Errorf("a chunk of %d bytes, at most %d fit", len(c.Data), maxValue)
+		}
+	}
+}
--- a/core/commit/commit.go
+++ b/core/commit/commit.go
@@ -60,8 +60,9 @@
 	// MaxVersion is the highest number of a version, the largest that every
 	// reader of JSON holds exactly.
 	MaxVersion = 1<<53 - 1
-	// MaxHead is the largest head in bytes, half of what the platform keeps.
-	MaxHead = 512 << 10
+	// MaxHead is the largest head in bytes. It has room for the most chunks that
+	// both lists can have, and is below what the platform keeps.
+	MaxHead = 768 << 10
 )
 
 // ErrNumbersUsedUp says that there is no higher number for a version.
--- a/core/plans/plans.go
+++ b/core/plans/plans.go
@@ -47,7 +47,8 @@
 	Service string
 	// Method is the HTTP method.
 	Method string
-	// Path is the path that the backend server will see.
+	// Path is the path that the backend server will see, with its escapes
+	// decoded.
 	Path string
 }
 
@@ -134,6 +135,9 @@
 	if len(use.Methods) > 0 && !slices.Contains(use.Methods, lists.UseMethodsElem(r.Method)) {
 		return Refused{Rule: "methodForbidden", Detail: "plan " + who.plan + " does not allow " + r.Method + " on " + r.Service}
 	}
+	if len(use.PathPrefixes) > 0 && hasDotSegment(r.Path) {
+		return Refused{Rule: "pathForbidden", Detail: "a path with a . or .. segment could lead out of what plan " + who.plan + " allows"}
+	}
 	if len(use.PathPrefixes) > 0 && !hasPrefix(use.PathPrefixes, r.Path) {
 		return Refused{Rule: "pathForbidden", Detail: "plan " + who.plan + " does not allow this path on " + r.Service}
 	}
@@ -153,6 +157,13 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// hasDotSegment says whether a backend server may understand the path as another
+// one. Some take a backslash for a slash.
+func hasDotSegment(path string) bool {
+	segments := strings.FieldsFunc(path, func(r rune) bool { return r == '/' || r == '\\' })
+	return slices.Contains(segments, ".") || slices.Contains(segments, "..")
+}
+
 func hasPrefix(prefixes []string, path string) bool {
 	for _, prefix := range prefixes {
 		if strings.HasPrefix(path, prefix) {
