node: drain on the operators' request, and keep keys out of sight

POST /drain with the operator key ends the node as SIGTERM does. A test starts a node and looks for its keys in the log, /status, /explain, /metrics and errors.

--- a/cmd/lavenderdeal/node.go
+++ b/cmd/lavenderdeal/node.go
@@ -21,7 +21,7 @@
 		ShortHelp:  "run the node beside a backend server",
 		LongHelp: "Flags go before the environment (LAVENDERDEAL_ZONE for --zone), which goes before the file.\n\n" +
 			"Example:\n  lavenderdeal node --config node.yaml\n\n" +
-			"SIGTERM and SIGINT stop the node without cutting off a call.\n" +
+			"SIGTERM, SIGINT and POST /drain on the operator port stop the node without cutting off a call.\n" +
 			"Exits with 0 after a graceful shutdown, 1 when it could not start or calls were cut off, 2 when the command line is wrong.",
 		FlagSet: flags,
 		Options: settingsOptions(),
@@ -45,7 +45,7 @@
 		return err
 	}
 	log.WithField("addresses", n.Addresses()).Info("nodeStarted")
-	<-ctx.Done()
+	waitForStop(ctx, n)
 	log.Info("nodeStopping")
 	if err := n.Stop(context.Background()); err != nil {
 		fmt.Fprintln(stderr, "lavenderdeal:", err)
@@ -54,3 +54,11 @@
 	log.Info("nodeStopped")
 	return nil
 }
+
+// waitForStop waits until a signal ends ctx or an operator drains the node.
+func waitForStop(ctx context.Context, n *node.Node) {
+	select {
+	case <-ctx.Done():
+	case <-n.Draining():
+	}
+}
--- /dev/null
+++ b/cmd/lavenderdeal/secrets_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+
+	"lavenderdeal/internal/httpserver"
+	"lavenderdeal/internal/node"
+	"lavenderdeal/internal/standin/objectapi"
+	"lavenderdeal/internal/units"
+	"lavenderdeal/io/operator"
+	"lavenderdeal/schema/settings"
+)
+
+const (
+	testPeerKey     = "peer-key-that-nobody-may-see"
+	testOperatorKey = "operator-key-that-nobody-may-see"
+	testToken       = "token-that-nobody-may-see"
+	wrongKey        = "wrong-key-that-nobody-may-see"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+func startForSecrets(t *testing.T) (*node.Node, *memory.Handler) {
+	t.Helper()
+	store, err := httpserver.Start(loopback, objectapi.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = store.Close() })
+	lines := memory.New()
+	n, err := node.Start(settings.Settings{
+		Zone: "catania", Region: "sicily", Service: "availability",
+		Server:      settings.Server{Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 1, Connections: 4, HealthPath: "/health"},
+		Listen:      settings.Listen{Caller: loopback, Peer: loopback, Call: loopback, Operator: loopback},
+		Platform:    settings.Platform{Address: store.Addr(), Token: testToken, Timeout: units.Duration(time.Second)},
+		PeerKey:     testPeerKey,
+		OperatorKey: testOperatorKey,
+		Drain:       settings.Drain{Finish: units.Duration(time.Second)},
+	}, node.WithLog(&log.Logger{Handler: lines, Level: log.DebugLevel}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Kill)
+	return n, lines
+}
+
+func TestKeysStayHidden(t *testing.T) {
+	n, lines := startForSecrets(t)
+	port := n.Addresses().Operator
+	wrong := operator.NewClient(port, wrongKey)
+	defer wrong.Close()
+	err := wrong.Drain(t.Context())
+	if err == nil {
+		t.Fatal("a wrong key was accepted")
+	}
+	if count := n.Metrics().Counter("operatorKeysRefused"); count != 1 {
+		t.Errorf("operatorKeysRefused is %d, want 1", count)
+	}
+	assertHidden(t, "error", err.Error())
+	for _, path := range []string{"/status", "/explain", "/metrics"} {
+		assertHidden(t, path, get(t, fmt.Sprintf("http://%s%s", port, path)))
+	}
+	n.Kill()
+	entries, err := json.Marshal(lines.Entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	assertHidden(t, "log", string(entries))
+}
+
+func TestDrainByOperator(t *testing.T) {
+	n, _ := startForSecrets(t)
+	client := operator.NewClient(n.Addresses().Operator, testOperatorKey)
+	defer client.Close()
+	select {
+	case <-n.Draining():
+		t.Fatal("the node drains before it was asked")
+	default:
+	}
+	for range 2 {
+		if err := client.Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	waitForStop(ctx, n)
+	if ctx.Err() != nil {
+		t.Error("the node does not stop")
+	}
+}
+
+func get(t *testing.T, url string) string {
+	t.Helper()
+	transport := &http.Transport{DisableKeepAlives: true}
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer, err := transport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil || answer.StatusCode != http.StatusOK {
+		t.Fatalf("%s: status %d, error %v", url, answer.StatusCode, err)
+	}
+	return string(body)
+}
+
+func assertHidden(t *testing.T, where, text string) {
+	t.Helper()
+	for _, key := range []string{testPeerKey, testOperatorKey, testToken, wrongKey} {
+		if strings.Contains(text, key) {
+			t.Errorf("%s holds a key: %s", where, text)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"sync"
 	"sync/atomic"
 
 	"github.com/apex/log"
@@ -70,6 +71,9 @@
 
 	cancel context.CancelFunc
 	group  errgroup.Group
+
+	drainOnce sync.Once
+	draining  chan struct{}
 }
 
 // Option changes a node while it is built.
@@ -90,7 +94,7 @@
 // Start starts a node. It returns once the node listens; the node is not yet
 // ready for calls then.
 func Start(cfg settings.Settings, opts ...Option) (*Node, error) {
-	n := &Node{cfg: cfg, log: log.Log, metrics: metrics.New(), ring: explain.NewRing(ringLength)}
+	n := &Node{cfg: cfg, log: log.Log, metrics: metrics.New(), ring: explain.NewRing(ringLength), draining: make(chan struct{})}
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -173,7 +177,10 @@
 	if n.callerServer, err = httpserver.Start(n.cfg.Listen.Caller, n.entry); err != nil {
 		return err
 	}
-	handler := &operator.Handler{Status: n.Status, Ring: n.ring, Metrics: n.metrics.Map(), Key: n.cfg.OperatorKey, Counters: n.metrics, Quarantine: n.watch}
+	handler := &operator.Handler{
+		Status: n.Status, Ring: n.ring, Metrics: n.metrics.Map(), Key: n.cfg.OperatorKey,
+		Counters: n.metrics, Quarantine: n.watch, Drainer: n,
+	}
 	if n.operatorServer, err = httpserver.Start(n.cfg.Listen.Operator, handler); err != nil {
 		return err
 	}
@@ -235,6 +242,12 @@
 // Metrics returns the node's counters and histograms.
 func (n *Node) Metrics() *metrics.Set { return n.metrics }
 
+// Drain asks whoever runs the node to stop it; see [Node.Draining].
+func (n *Node) Drain() { n.drainOnce.Do(func() { close(n.draining) }) }
+
+// Draining is closed once an operator has asked the node to leave.
+func (n *Node) Draining() <-chan struct{} { return n.draining }
+
 // Kill ends the node at once, as a crash would.
 func (n *Node) Kill() { n.close() }
 
