--- a/core/member/join.go
+++ b/core/member/join.go
@@ -30,6 +30,7 @@
 // joining is the state of the node's own join.
 type joining struct {
 	seeds    []netip.AddrPort
+	untried  []netip.AddrPort
 	next     time.Time
 	after    string
 	failures int
@@ -46,6 +47,10 @@
 		isUseful := seed != t.self.Peer && seed.IsValid() && !slices.Contains(t.joining.seeds, seed)
 		if isUseful && len(t.joining.seeds) < maxSeeds {
 			t.joining.seeds = append(t.joining.seeds, seed)
+			t.joining.untried = append(t.joining.untried, seed)
+			// A new address makes the tries before it meaningless.
+			t.joining.failures = 0
+			t.joining.next = time.Time{}
 		}
 	}
 }
@@ -92,12 +97,23 @@
 	switch {
 	case ok && (n == 0 || t.rng.IntN(2) == 0):
 		return r.Peer, true
+	case len(t.joining.untried) > 0:
+		return t.takeUntried(), true
 	case n > 0:
 		return t.joining.seeds[t.rng.IntN(n)], true
 	}
 	return netip.AddrPort{}, false
 }
 
+// takeUntried returns a random seed that was not tried yet.
+func (t *Table) takeUntried() netip.AddrPort {
+	j := &t.joining
+	at := t.rng.IntN(len(j.untried))
+	seed := j.untried[at]
+	j.untried = slices.Delete(j.untried, at, at+1)
+	return seed
+}
+
 func (t *Table) sendJoin(to netip.AddrPort) {
 	q := Join{Member: t.self.Member, Version: t.Version, After: t.joining.after}
 	t.send(Send{To: to, Request: q, Timeout: TransferTimeout, purpose: purposeJoin})
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -138,6 +138,7 @@
 	syncing       bool
 	syncedAt      time.Time
 	nextSync      time.Time
+	nextRefresh   time.Time
 	stale         bool
 	staleSince    time.Time
 	wasRep        bool
@@ -358,7 +359,7 @@
 			r.since = t.now
 		}
 	}
-	t.nextSync = t.now
+	t.nextRefresh = t.now
 }
 
 // announce makes a new record of the node itself known.
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -16,6 +16,8 @@
 	syncPause  = 1 * time.Second
 	syncJitter = 2 * time.Second
 	nextJitter = 300 * time.Millisecond
+	// refreshPause is the time between two comparisons of a stale node.
+	refreshPause = 1 * time.Second
 
 	maxSyncZones   = 64
 	maxSyncBuckets = 64
@@ -34,13 +36,16 @@
 	}
 }
 
-// refresh compares with anyone while the node's knowledge is stale.
+// refresh compares with anyone while the node's knowledge is stale. Those that
+// it knows may all be gone, so this does not hold up a comparison with a peer
+// that answers.
 func (t *Table) refresh() {
-	if !t.stale || t.now.Before(t.nextSync) {
+	if !t.stale || t.now.Before(t.nextRefresh) {
 		return
 	}
+	t.nextRefresh = t.now.Add(t.around(refreshPause))
 	if r, ok := t.randomMember(t.anyZone(), isLive); ok {
-		t.startSync(r.Peer)
+		t.compareZones(r.Peer)
 	}
 }
 
@@ -59,6 +64,10 @@
 	t.syncing = true
 	t.syncedAt = t.now
 	t.nextSync = t.now.Add(syncPause + t.jitter(syncJitter))
+	t.compareZones(with)
+}
+
+func (t *Table) compareZones(with netip.AddrPort) {
 	q := Sync{From: t.self.Id, Version: t.Version}
 	for _, name := range t.zoneNames {
 		q.Zones = append(q.Zones, messages.ZoneDigest{Zone: name, Digest: t.zones[name].digest})
