follow, floor, relay, confirm: state machines and tests on real sockets

Found by the checks and mended, each with a test: - a number that had been rejected was not looked for again, although peers held other, valid content under it after a restore of the store; - floor: the first Ask forgot the answers that had come before it; - a node alone in its zone never became a reader; - readers paused up to 3 s after an outage: now 1.5 s at most.

--- /dev/null
+++ b/core/confirm/confirm_test.go
@@ -0,0 +1,179 @@
+package confirm_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lavenderdeal/core/confirm"
+	"lavenderdeal/internal/proptest"
+	"lavenderdeal/schema/messages"
+	"lavenderdeal/schema/objects"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+var now = time.Unix(1_000_000, 0)
+
+func members(n int) []messages.Member {
+	all := make([]messages.Member, n)
+	for i := range all {
+		all[i] = messages.Member{Id: fmt.Sprint("n", i), Zone: "a", State: messages.MemberStateReady}
+	}
+	return all
+}
+
+func TestTable(t *testing.T) {
+	t.Run("all confirmed", func(t *testing.T) {
+		var table confirm.Table
+		table.Report(confirm.Report{ID: "n0", Number: 3, Sequence: 1})
+		table.Report(confirm.Report{ID: "n1", Number: 3, Sequence: 1})
+		status := table.Status("a", members(2), 3)
+		assertStatus(t, status, 3, 2, 2)
+	})
+	t.Run("missing nodes have their reason", func(t *testing.T) {
+		var table confirm.Table
+		all := members(5)
+		all[4].State = messages.MemberStateFailed
+		table.Report(confirm.Report{ID: "n0", Number: 3, Sequence: 1})
+		table.Report(confirm.Report{ID: "n1", Number: 2, Sequence: 1})
+		table.Report(confirm.Report{ID: "n2", Number: 2, RejectedNumber: 3, Reasons: []string{"plans: service x is not listed"}, Sequence: 1})
+		table.Report(confirm.Report{ID: "n4", Number: 3, Sequence: 1})
+		status := table.Status("a", all, 3)
+		assertStatus(t, status, 3, 5, 1)
+		assertMissing(t, status, "n1", 2, "behind")
+		assertMissing(t, status, "n2", 2, "rejected version 3: plans: service x is not listed")
+		assertMissing(t, status, "n3", 0, "not heard")
+		assertMissing(t, status, "n4", 3, "not heard: the node is not reachable")
+	})
+	t.Run("a newer version in a report counts", func(t *testing.T) {
+		var table confirm.Table
+		table.Report(confirm.Report{ID: "n0", Number: 4, Sequence: 1})
+		assertStatus(t, table.Status("a", members(1), 3), 4, 1, 1)
+	})
+	t.Run("an old report that comes late is dropped", func(t *testing.T) {
+		var table confirm.Table
+		table.Report(confirm.Report{ID: "n0", Number: 4, Sequence: 2})
+		if table.Report(confirm.Report{ID: "n0", Number: 3, Sequence: 1}) {
+			t.Error("an older report replaced a newer one")
+		}
+		assertStatus(t, table.Status("a", members(1), 4), 4, 1, 1)
+	})
+	t.Run("the list of missing nodes is bounded, the count is not", func(t *testing.T) {
+		var table confirm.Table
+		status := table.Status("a", members(500), 1)
+		if len(status.Missing) != confirm.MaxMissing || status.Members-status.Confirmed != 500 {
+			t.Errorf("%d named of %d", len(status.Missing), status.Members-status.Confirmed)
+		}
+	})
+	t.Run("members that are gone are forgotten", func(t *testing.T) {
+		var table confirm.Table
+		table.Report(confirm.Report{ID: "n1", Number: 9, Sequence: 1})
+		table.Keep(members(1))
+		assertStatus(t, table.Status("a", members(2), 3), 3, 2, 0)
+	})
+}
+
+func TestWriter(t *testing.T) {
+	one, two := objects.ZoneStatus{Zone: "a", Version: 1}, objects.ZoneStatus{Zone: "a", Version: 2}
+	t.Run("the object is read first and written only on a change", func(t *testing.T) {
+		var w confirm.Writer
+		assertNext(t, &w, now, one, confirm.Read)
+		w.Found(now, one)
+		assertNext(t, &w, now, one, confirm.Nothing)
+		assertNext(t, &w, now, two, confirm.Nothing)
+		assertNext(t, &w, now.Add(time.Second), two, confirm.Write)
+		w.Wrote(now.Add(time.Second), two)
+		assertNext(t, &w, now.Add(2*time.Second), two, confirm.Nothing)
+	})
+	t.Run("a race that was lost is read before the next write", func(t *testing.T) {
+		var w confirm.Writer
+		w.Found(now, one)
+		w.Lost(now)
+		assertNext(t, &w, now, two, confirm.Nothing)
+		assertNext(t, &w, now.Add(confirm.WritePause), two, confirm.Read)
+	})
+	t.Run("an object that was replaced is found in the end", func(t *testing.T) {
+		var w confirm.Writer
+		w.Found(now, two)
+		assertNext(t, &w, now.Add(2*time.Minute), two, confirm.Read)
+	})
+}
+
+// TestTwoWriters lets two writers that believe to be the first race: the rate
+// of each is bounded and both settle on the newest status.
+func TestTwoWriters(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var writers [2]confirm.Writer
+		var known [2]int
+		var object objects.ZoneStatus
+		revision, at := 1, now
+		var last [2]time.Time
+		status := objects.ZoneStatus{Zone: "a"}
+		turn := func(t *rapid.T, i int) {
+			switch writers[i].Next(at, status) {
+			case confirm.Read:
+				known[i] = revision
+				writers[i].Found(at, object)
+			case confirm.Write:
+				if !last[i].IsZero() && at.Sub(last[i]) < confirm.WritePause {
+					t.Fatalf("writer %d writes after %s", i, at.Sub(last[i]))
+				}
+				last[i] = at
+				if known[i] != revision {
+					writers[i].Lost(at)
+					return
+				}
+				revision++
+				object, known[i] = status, revision
+				writers[i].Wrote(at, status)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(*rapid.T) { status.Version++ },
+			"turn":   func(t *rapid.T) { turn(t, rapid.IntRange(0, 1).Draw(t, "writer")) },
+			"time": func(t *rapid.T) {
+				at = at.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "millis")) * time.Millisecond)
+			},
+			"restore": func(*rapid.T) {
+				object = objects.ZoneStatus{}
+				revision++
+			},
+		})
+		for range 70 {
+			at = at.Add(time.Second)
+			turn(t, 0)
+			turn(t, 1)
+		}
+		if object.Version != status.Version {
+			t.Fatalf("the object has version %d, want %d", object.Version, status.Version)
+		}
+	})
+}
+
+func assertNext(t *testing.T, w *confirm.Writer, at time.Time, status objects.ZoneStatus, want confirm.Action) {
+	t.Helper()
+	if got := w.Next(at, status); got != want {
+		t.Fatalf("got action %d, want %d", got, want)
+	}
+}
+
+func assertStatus(t *testing.T, s objects.ZoneStatus, version uint64, members, confirmed int) {
+	t.Helper()
+	if s.Version != version || s.Members != members || s.Confirmed != confirmed {
+		t.Fatalf("got version %d with %d of %d, want %d with %d of %d", s.Version, s.Confirmed, s.Members, version, confirmed, members)
+	}
+}
+
+func assertMissing(t *testing.T, s objects.ZoneStatus, id string, version uint64, reason string) {
+	t.Helper()
+	for _, lag := range s.Missing {
+		if lag.Node == id && lag.Version == version && strings.HasPrefix(lag.Reason, reason) {
+			return
+		}
+	}
+	t.Errorf("no %s with version %d and reason %q in %+v", id, version, reason, s.Missing)
+}
--- a/core/floor/floor.go
+++ b/core/floor/floor.go
@@ -57,7 +57,6 @@
 	fromSelf uint64
 	open     map[string]time.Time
 	answers  map[string]Answer
-	failed   int
 }
 
 type platformState uint8
@@ -73,7 +72,6 @@
 func (g *Gate) Ask(now time.Time, ids ...string) {
 	if g.open == nil {
 		g.open = make(map[string]time.Time)
-		g.answers = make(map[string]Answer)
 	}
 	for _, id := range ids {
 		g.open[id] = now.Add(AskTimeout)
@@ -92,7 +90,6 @@
 // PeerFailed notes that a peer did not answer.
 func (g *Gate) PeerFailed(id string) {
 	delete(g.open, id)
-	g.failed++
 }
 
 // PlatformAnswered notes the number of the head in the platform, 0 when there
@@ -155,7 +152,6 @@
 			return true
 		}
 		delete(g.open, id)
-		g.failed++
 	}
 	return false
 }
--- a/core/follow/fetch.go
+++ b/core/follow/fetch.go
@@ -47,6 +47,9 @@
 	progress := false
 	for _, data := range e.Chunks {
 		hash := m.store.hashOf(data)
+		if m.store.has(hash) {
+			continue
+		}
 		if !m.isMissing(hash) {
 			m.do(Untrusted{From: e.From, Detail: "a chunk that was not asked for, or whose content does not match its hash"})
 			continue
@@ -118,10 +121,12 @@
 	m.lookFor(now)
 }
 
-// knows says whether the number is being fetched or was rejected.
+// knows says whether the number is being fetched, or was rejected although a
+// peer holds it. A number that was rejected before may have other content at the
+// peers, if the platform was restored in between.
 func (m *Machine) knows(number uint64) bool {
 	return slices.ContainsFunc(m.candidates, func(c *candidate) bool { return c.Version == number }) ||
-		m.IsRejected(number)
+		slices.ContainsFunc(m.rejections, func(r Rejection) bool { return r.Number == number && r.held })
 }
 
 // lookFor asks a few sources at once for a head that somebody has.
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -168,6 +168,9 @@
 	Number  uint64
 	Hash    string
 	Reasons []string
+
+	// held says that a peer holds the same version.
+	held bool
 }
 
 const (
--- /dev/null
+++ b/core/follow/follow_test.go
@@ -0,0 +1,236 @@
+package follow_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"lavenderdeal/core/chunk"
+	"lavenderdeal/core/follow"
+	"lavenderdeal/core/plans"
+	"lavenderdeal/internal/units"
+	"lavenderdeal/schema/lists"
+	"lavenderdeal/schema/messages"
+	"lavenderdeal/schema/objects"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+// source is a published version with its chunks.
+type source struct {
+	raw    []byte
+	chunks [][]byte
+}
+
+// versionOf returns a version with a customer for each name. A plan that is not
+// listed makes it invalid.
+func versionOf(number uint64, plan string, names ...string) source {
+	var s source
+	head := objects.Head{Version: number, Operation: fmt.Sprint(plan, names), ChangedAt: now.UTC()}
+	add := func(list any) string {
+		c := chunk.Of(mustMarshal(list))
+		s.chunks = append(s.chunks, c.Data)
+		return c.Hash
+	}
+	for _, name := range names {
+		head.CustomerChunks = append(head.CustomerChunks, add(lists.CustomerList{Customers: []lists.Customer{
+			{Name: name, Plan: plan, KeyHashes: []string{plans.HashKey(name)}},
+		}}))
+	}
+	head.PlanChunks = []string{add(lists.PlanList{
+		Services: []lists.Service{{Name: "s", Timeout: units.Duration(time.Second)}},
+		Plans:    []lists.Plan{{Name: "gold", Uses: []lists.Use{{Service: "s", Priority: lists.UsePriorityHigh}}}},
+	})}
+	s.raw = mustMarshal(head)
+	return s
+}
+
+// give passes a head and its chunks to a machine and returns all effects.
+func give(m *follow.Machine, from follow.Source, s source) []follow.Effect {
+	effects := slices.Clone(m.Step(now, follow.HeadSeen{From: from, Raw: s.raw}))
+	return append(effects, m.Step(now, follow.ChunksReceived{From: from, Chunks: s.chunks})...)
+}
+
+func TestMachine(t *testing.T) {
+	t.Run("a change of one chunk fetches one chunk", func(t *testing.T) {
+		var m follow.Machine
+		give(&m, follow.Platform, versionOf(1, "gold", "a", "b", "c"))
+		next := versionOf(2, "gold", "a", "b", "d")
+		fetch := only[follow.FetchChunks](t, m.Step(now, follow.HeadSeen{From: follow.Platform, Raw: next.raw}))
+		assertEqual(t, len(fetch.Hashes), 1)
+		assertEqual(t, fetch.Hashes[0], chunk.Of(next.chunks[2]).Hash)
+	})
+	t.Run("a bad version is reported once and does not stop the next", func(t *testing.T) {
+		var m follow.Machine
+		bad := versionOf(1, "none", "a")
+		rejected := only[follow.Reject](t, give(&m, follow.Platform, bad))
+		assertEqual(t, rejected.Number, 1)
+		assertEqual(t, len(rejected.Reasons), 1)
+		assertEqual(t, len(m.Step(now, follow.HeadSeen{From: follow.Platform, Raw: bad.raw})), 0)
+		applied := only[follow.Apply](t, give(&m, follow.Platform, versionOf(2, "gold", "a")))
+		assertEqual(t, applied.Version.Number(), 2)
+	})
+	t.Run("the version before a bad one is taken", func(t *testing.T) {
+		var m follow.Machine
+		good, bad := versionOf(1, "gold", "a"), versionOf(2, "none", "b")
+		m.Step(now, follow.HeadSeen{From: "n1", Raw: good.raw})
+		give(&m, "n2", bad)
+		applied := only[follow.Apply](t, m.Step(now, follow.ChunksReceived{From: "n1", Chunks: good.chunks}))
+		assertEqual(t, applied.Version.Number(), 1)
+	})
+	t.Run("a number that was rejected is looked for when peers hold other content", func(t *testing.T) {
+		var m follow.Machine
+		give(&m, follow.Platform, versionOf(1, "none", "a"))
+		m.Step(now, follow.ViewChanged{Peers: []follow.Source{"n1"}})
+		only[follow.FetchHead](t, m.Step(now, follow.VersionHeard{Number: 1}))
+		applied := only[follow.Apply](t, give(&m, "n1", versionOf(1, "gold", "a")))
+		assertEqual(t, applied.Version.Number(), 1)
+	})
+	t.Run("a rejected version that peers hold is not asked for again", func(t *testing.T) {
+		var m follow.Machine
+		bad := versionOf(1, "none", "a")
+		give(&m, follow.Platform, bad)
+		m.Step(now, follow.ViewChanged{Peers: []follow.Source{"n1"}})
+		only[follow.FetchHead](t, m.Step(now, follow.VersionHeard{Number: 1}))
+		m.Step(now, follow.HeadSeen{From: "n1", Raw: bad.raw})
+		assertEqual(t, len(m.Step(now, follow.VersionHeard{Number: 1})), 0)
+	})
+	t.Run("other content under the same number is a conflict, reported once", func(t *testing.T) {
+		var m follow.Machine
+		give(&m, follow.Platform, versionOf(3, "gold", "a"))
+		other := versionOf(3, "gold", "b")
+		conflict := only[follow.Conflict](t, m.Step(now, follow.HeadSeen{From: "n1", Raw: other.raw}))
+		assertEqual(t, conflict.Number, 3)
+		assertEqual(t, len(m.Step(now, follow.HeadSeen{From: "n1", Raw: other.raw})), 0)
+		if _, ok := m.Version().DecideFor("a", plans.Request{Service: "s"}).(plans.Allowed); !ok {
+			t.Error("the content changed under the same number")
+		}
+	})
+	t.Run("a platform that falls behind is reported once, and once when it is back", func(t *testing.T) {
+		var m follow.Machine
+		old, held := versionOf(2, "gold", "a"), versionOf(5, "gold", "b")
+		give(&m, follow.Platform, held)
+		behind := only[follow.StoreBehind](t, m.Step(now, follow.HeadSeen{From: follow.Platform, Raw: old.raw}))
+		assertEqual(t, behind.Platform, 2)
+		assertEqual(t, len(m.Step(now, follow.HeadSeen{From: follow.Platform, Raw: old.raw})), 0)
+		only[follow.StoreBehind](t, m.Step(now, follow.PlatformEmpty{}))
+		only[follow.StoreCaughtUp](t, m.Step(now, follow.HeadSeen{From: follow.Platform, Raw: held.raw}))
+		assertEqual(t, m.Held().Version, 5)
+	})
+	t.Run("a lost answer is followed by a question to another source", func(t *testing.T) {
+		var m follow.Machine
+		m.Step(now, follow.ViewChanged{Peers: []follow.Source{"n1", "n2"}})
+		v := versionOf(1, "gold", "a")
+		assertEqual(t, only[follow.FetchChunks](t, m.Step(now, follow.HeadSeen{From: "n1", Raw: v.raw})).From, "n1")
+		later := now.Add(time.Minute)
+		assertEqual(t, only[follow.FetchChunks](t, m.Step(later, follow.Tick{})).From, "n2")
+	})
+	t.Run("chunks that fail their hash are counted and not kept", func(t *testing.T) {
+		var m follow.Machine
+		v := versionOf(1, "gold", "a")
+		m.Step(now, follow.HeadSeen{From: "n1", Raw: v.raw})
+		effects := m.Step(now, follow.ChunksReceived{From: "n1", Chunks: [][]byte{[]byte(`{"customers":[]}`)}})
+		assertEqual(t, only[follow.Untrusted](t, effects).From, "n1")
+		assertEqual(t, len(m.Chunks()), 0)
+	})
+	t.Run("a malformed head of the platform is a rejection", func(t *testing.T) {
+		var m follow.Machine
+		rejected := only[follow.Reject](t, m.Step(now, follow.HeadSeen{From: follow.Platform, Raw: []byte("{}")}))
+		assertEqual(t, rejected.Number, 0)
+	})
+	t.Run("chunks of old versions are dropped", func(t *testing.T) {
+		var m follow.Machine
+		give(&m, follow.Platform, versionOf(1, "gold", "a", "b"))
+		give(&m, follow.Platform, versionOf(2, "gold", "a", "c"))
+		assertEqual(t, len(m.Chunks()), 3)
+	})
+}
+
+func TestAnnouncement(t *testing.T) {
+	base, next := decode(t, versionOf(1, "gold", "a", "b", "c", "d", "e")), decode(t, versionOf(2, "gold", "a", "b", "x", "d", "e"))
+	t.Run("the receiver rebuilds the head byte for byte", func(t *testing.T) {
+		raw, ok := follow.Patch(base, follow.Announcement("n1", next, base))
+		if !ok || !bytes.Equal(raw, next.Raw) {
+			t.Fatalf("got %s, %v, want %s", raw, ok, next.Raw)
+		}
+	})
+	t.Run("edits that do not lead to the announced hash are refused", func(t *testing.T) {
+		a := follow.Announcement("n1", next, base)
+		a.CustomerEdits = nil
+		if _, ok := follow.Patch(base, a); ok {
+			t.Fatal("a head was rebuilt that nobody published")
+		}
+	})
+	t.Run("edits of another base are refused", func(t *testing.T) {
+		if _, ok := follow.Patch(next, follow.Announcement("n1", next, base)); ok {
+			t.Fatal("edits were applied to another head")
+		}
+	})
+	t.Run("a head with other numbers of chunks is announced without edits", func(t *testing.T) {
+		a := follow.Announcement("n1", decode(t, versionOf(2, "gold", "a")), base)
+		assertEqual(t, a.Base, "")
+	})
+}
+
+func FuzzPatch(f *testing.F) {
+	v := versionOf(1, "gold", "a", "b")
+	base, err := follow.DecodeHead(v.raw)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(mustMarshal(messages.Announce{Base: base.Hash, CustomerEdits: []messages.Edit{{Index: 9, Hash: "x"}}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var a messages.Announce
+		if json.Unmarshal(data, &a) != nil {
+			return
+		}
+		a.Base = base.Hash
+		if raw, ok := follow.Patch(base, a); ok && chunk.Of(raw).Hash != a.Hash {
+			t.Fatal("a head was accepted that does not match its hash")
+		}
+	})
+}
+
+func FuzzDecodeHead(f *testing.F) {
+	f.Add(versionOf(1, "gold", "a").raw)
+	f.Add([]byte(`{"version":1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if head, err := follow.DecodeHead(data); err == nil && head.Version == 0 {
+			t.Fatal("a head without a version was accepted")
+		}
+	})
+}
+
+func decode(t *testing.T, s source) follow.Head {
+	t.Helper()
+	head, err := follow.DecodeHead(s.raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return head
+}
+
+// only returns the one effect of a type.
+func only[E follow.Effect](t *testing.T, effects []follow.Effect) E {
+	t.Helper()
+	var found []E
+	for _, effect := range effects {
+		if e, ok := effect.(E); ok {
+			found = append(found, e)
+		}
+	}
+	if len(found) != 1 {
+		t.Fatalf("got %d effects %T in %+v, want one", len(found), *new(E), effects)
+	}
+	return found[0]
+}
+
+func assertEqual[T comparable](t *testing.T, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+}
--- a/core/follow/head.go
+++ b/core/follow/head.go
@@ -41,6 +41,7 @@
 	}
 	m.searchEnded(e.From, head.Version)
 	if m.isRejected(head.Hash) {
+		m.rejectedIsHeld(e.From, head.Hash)
 		return
 	}
 	m.addCandidate(now, e.From, head)
@@ -189,7 +190,17 @@
 		return
 	}
 	m.rejections = remember(m.rejections, r)
-	m.do(Reject(r))
+	m.do(Reject{Number: r.Number, Hash: r.Hash, Reasons: r.Reasons})
+}
+
+// rejectedIsHeld notes that a peer holds a version that this node rejected, as
+// during an upgrade between two releases. It need not be looked for again.
+func (m *Machine) rejectedIsHeld(from Source, hash string) {
+	for i, r := range m.rejections {
+		if r.Hash == hash && from != Platform {
+			m.rejections[i].held = true
+		}
+	}
 }
 
 func (m *Machine) isRejected(hash string) bool {
--- a/core/follow/store.go
+++ b/core/follow/store.go
@@ -27,6 +27,8 @@
 
 func (s *store) hashOf(data []byte) string { return chunk.Of(data).Hash }
 
+func (s *store) has(hash string) bool { return s.chunks[hash] != nil }
+
 func (s *store) add(hash string, data []byte) {
 	if s.chunks == nil {
 		s.chunks = make(map[string]*stored)
--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,148 @@
+package relay_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lavenderdeal/core/relay"
+	"lavenderdeal/internal/proptest"
+	"lavenderdeal/schema/messages"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m) }
+
+func members(zone string, states ...messages.MemberState) []messages.Member {
+	var all []messages.Member
+	for i, state := range states {
+		all = append(all, messages.Member{Id: fmt.Sprintf("%s%d", zone, i), Zone: zone, State: state})
+	}
+	return all
+}
+
+func TestReaders(t *testing.T) {
+	ready, suspect, failed, starting := messages.MemberStateReady, messages.MemberStateSuspect, messages.MemberStateFailed, messages.MemberStateStarting
+	t.Run("a zone has two, of its own nodes", func(t *testing.T) {
+		all := append(members("a", ready, ready, ready, ready), members("b", ready, ready, ready)...)
+		readers := relay.Readers(all, "a")
+		assertLen(t, readers, relay.ReaderCount)
+		assertAllIn(t, readers, "a0", "a1", "a2", "a3")
+	})
+	t.Run("failed and leaving nodes are not chosen", func(t *testing.T) {
+		assertAllIn(t, relay.Readers(members("a", failed, messages.MemberStateLeaving, ready), "a"), "a2")
+	})
+	t.Run("a suspect has others beside it", func(t *testing.T) {
+		readers := relay.Readers(members("a", suspect, suspect, ready, ready, ready), "a")
+		sure := slices.DeleteFunc(slices.Clone(readers), func(id string) bool { return id == "a0" || id == "a1" })
+		assertLen(t, sure, relay.ReaderCount)
+	})
+	t.Run("nodes that start are chosen when too few serve", func(t *testing.T) {
+		assertLen(t, relay.Readers(members("a", starting, starting, starting), "a"), 2)
+		readers := relay.Readers(members("a", starting, starting, ready), "a")
+		assertLen(t, readers, 2)
+		if readers[0] != "a2" {
+			t.Errorf("first reader is %s, want the one that serves", readers[0])
+		}
+	})
+}
+
+func TestSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := make([]string, rapid.IntRange(0, 200).Draw(t, "nodes"))
+		for i := range ids {
+			ids[i] = fmt.Sprint("n", i)
+		}
+		branches := relay.Split(ids, relay.Fanout)
+		if len(branches) > relay.Fanout {
+			t.Fatalf("%d branches", len(branches))
+		}
+		var all []string
+		for _, b := range branches {
+			all = append(append(all, b.Child), b.Rest...)
+		}
+		if !slices.Equal(all, ids) {
+			t.Fatalf("the branches have %v, want %v", all, ids)
+		}
+	})
+}
+
+// TestTreeReachesAll walks the tree with some nodes failed: all others get the
+// head exactly once, and the tree is shallow.
+func TestTreeReachesAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := make([]string, rapid.IntRange(1, 160).Draw(t, "nodes"))
+		failed := make(map[string]bool)
+		for i := range ids {
+			ids[i] = fmt.Sprint("n", i)
+			failed[ids[i]] = rapid.IntRange(0, 4).Draw(t, "failed") == 0
+		}
+		got := make(map[string]int)
+		depth := walk(relay.Order("hash", ids), failed, got)
+		for _, id := range ids {
+			if want := 1; !failed[id] && got[id] != want {
+				t.Fatalf("%s got the head %d times", id, got[id])
+			}
+		}
+		if depth > 5 {
+			t.Fatalf("%d hops for %d nodes", depth, len(ids))
+		}
+	})
+}
+
+// walk hands a list on and returns the number of hops.
+func walk(ids []string, failed map[string]bool, got map[string]int) int {
+	depth := 0
+	for _, b := range relay.Split(ids, relay.Fanout) {
+		if failed[b.Child] {
+			depth = max(depth, walk(b.Rest, failed, got))
+			continue
+		}
+		got[b.Child]++
+		depth = max(depth, 1+walk(b.Rest, failed, got))
+	}
+	return depth
+}
+
+func TestTree(t *testing.T) {
+	rest := []string{"n1", "n2"}
+	t.Run("a head is passed on once its chunks are here", func(t *testing.T) {
+		var tree relay.Tree
+		assertLen(t, tree.Asked("h", rest), 0)
+		assertLen(t, tree.Complete("h"), 2)
+	})
+	t.Run("a duty that comes late is done at once", func(t *testing.T) {
+		var tree relay.Tree
+		assertLen(t, tree.Complete("h"), 0)
+		assertLen(t, tree.Asked("h", rest), 2)
+	})
+	t.Run("a head is passed on once", func(t *testing.T) {
+		var tree relay.Tree
+		tree.Complete("h")
+		assertLen(t, tree.Asked("h", rest), 2)
+		assertLen(t, tree.Asked("h", rest), 0)
+		assertLen(t, tree.Complete("h"), 0)
+	})
+	t.Run("heads are told apart", func(t *testing.T) {
+		var tree relay.Tree
+		tree.Complete("h")
+		assertLen(t, tree.Asked("other", rest), 0)
+	})
+}
+
+func assertLen(t *testing.T, ids []string, n int) {
+	t.Helper()
+	if len(ids) != n {
+		t.Fatalf("got %v, want %d", ids, n)
+	}
+}
+
+func assertAllIn(t *testing.T, ids []string, allowed ...string) {
+	t.Helper()
+	for _, id := range ids {
+		if !slices.Contains(allowed, id) {
+			t.Errorf("%s is not one of %v", id, allowed)
+		}
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -74,6 +74,7 @@
 	// pending is the version held while the floor is not known.
 	pending  *plans.Version
 	view     *fleet.View
+	settled  bool
 	readers  []string
 	isReader bool
 	readerAt time.Time
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,269 @@
+package follow_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"lavenderdeal/core/plans"
+	"lavenderdeal/internal/httpserver"
+	"lavenderdeal/internal/node"
+	"lavenderdeal/internal/publish"
+	"lavenderdeal/internal/standin/backend"
+	"lavenderdeal/internal/standin/objectapi"
+	"lavenderdeal/internal/units"
+	"lavenderdeal/io/platform"
+	"lavenderdeal/schema/lists"
+	"lavenderdeal/schema/objects"
+	"lavenderdeal/schema/settings"
+)
+
+const (
+	// inForceWithin is the time in which a change is in force everywhere.
+	inForceWithin = 4 * time.Second
+	// startWithin bounds the wait for a start, for which no time is promised.
+	startWithin = 30 * time.Second
+	pollPause   = 10 * time.Millisecond
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// fixture is a platform with nodes of several zones, on real sockets.
+type fixture struct {
+	// root ends the nodes; t is the subtest that runs.
+	root  *testing.T
+	t     *testing.T
+	store *objectapi.Store
+	addr  netip.AddrPort
+	write publish.Store
+	nodes []*node.Node
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	store := objectapi.New()
+	server, err := httpserver.Start(loopback, store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	client := platform.New(server.Addr())
+	t.Cleanup(client.Close)
+	return &fixture{root: t, t: t, store: store, addr: server.Addr(), write: publish.Store{Objects: client}}
+}
+
+// start starts nodes that know the ones before them.
+func (f *fixture) start(zone string, n int) {
+	f.t.Helper()
+	for range n {
+		server, err := httpserver.Start(loopback, backend.New(zone, 4))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.root.Cleanup(func() { _ = server.Close() })
+		cfg := settings.Settings{
+			Zone: zone, Region: "sicily", Service: "bookings",
+			Server:   settings.Server{Address: server.Addr(), Slots: 4, Connections: 10, HealthPath: "/health"},
+			Listen:   settings.Listen{Caller: loopback, Peer: loopback, Call: loopback, Operator: loopback},
+			Platform: settings.Platform{Address: f.addr, Timeout: units.Duration(time.Second)},
+			PeerKey:  "test-peer-key-0123456789",
+			Drain:    settings.Drain{Announce: units.Duration(time.Second), Finish: units.Duration(time.Second)},
+		}
+		for _, other := range f.nodes {
+			cfg.Peers = append(cfg.Peers, other.Addresses().Peer)
+		}
+		started, err := node.Start(cfg, node.WithLog(&log.Logger{Handler: discard.Default}))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.root.Cleanup(started.Kill)
+		f.nodes = append(f.nodes, started)
+	}
+}
+
+// publish writes a version in which the customer has this plan.
+func (f *fixture) publish(plan string) uint64 {
+	f.t.Helper()
+	current, err := f.write.Current(f.t.Context())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	customers := lists.CustomerList{Customers: []lists.Customer{{Name: "crew", Plan: plan, KeyHashes: []string{plans.HashKey("crew-key")}}}}
+	uses := []lists.Use{{Service: "bookings", Priority: lists.UsePriorityHigh}}
+	planList := lists.PlanList{
+		Services: []lists.Service{{Name: "bookings", Timeout: units.Duration(time.Second)}},
+		Plans:    []lists.Plan{{Name: "gold", Uses: uses}, {Name: "silver", Uses: uses}},
+	}
+	head, err := f.write.Apply(f.t.Context(), current, customers, planList, publish.Change{Author: "test"})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return head.Version
+}
+
+// waitVersion waits until all nodes have a version in force.
+func (f *fixture) waitVersion(version uint64, within time.Duration) {
+	f.t.Helper()
+	f.waitFor(within, fmt.Sprintf("version %d on all nodes", version), func() bool {
+		for _, n := range f.nodes {
+			if n.Status().Version != version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (f *fixture) waitFor(within time.Duration, what string, holds func() bool) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.t.Context(), within)
+	defer cancel()
+	for !holds() {
+		select {
+		case <-time.After(pollPause):
+		case <-ctx.Done():
+			for _, n := range f.nodes {
+				f.t.Logf("%+v %s", n.Status(), n.Metrics().Map())
+			}
+			f.t.Fatalf("%s: not within %s", what, within)
+		}
+	}
+}
+
+// waitMembers waits until all nodes know all others.
+func (f *fixture) waitMembers() {
+	f.t.Helper()
+	f.waitFor(startWithin, "all nodes know all", func() bool {
+		for _, n := range f.nodes {
+			if n.Status().Members["ready"] < len(f.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (f *fixture) status(zone string) objects.ZoneStatus {
+	var status objects.ZoneStatus
+	object, err := f.write.Objects.Get(f.t.Context(), "status/"+zone)
+	if err == nil {
+		_ = json.Unmarshal(object.Value, &status)
+	}
+	return status
+}
+
+func TestChange(t *testing.T) {
+	f := newFixture(t)
+	f.publish("gold")
+	f.start("catania", 4)
+	f.start("palermo", 4)
+	f.waitVersion(1, startWithin)
+	f.waitMembers()
+
+	t.Run("a change is in force on all nodes of all zones", func(t *testing.T) {
+		f.t = t
+		f.waitVersion(f.publish("silver"), inForceWithin)
+	})
+	t.Run("a few readers ask the platform", func(t *testing.T) {
+		f.t = t
+		f.waitFor(startWithin, "2 readers in each of 2 zones", func() bool {
+			readers := 0
+			for _, n := range f.nodes {
+				if n.Status().Reader {
+					readers++
+				}
+			}
+			return readers == 4
+		})
+	})
+	t.Run("each zone confirms the change", func(t *testing.T) {
+		f.t = t
+		f.waitFor(startWithin, "the statuses of both zones", func() bool {
+			for _, zone := range []string{"catania", "palermo"} {
+				s := f.status(zone)
+				if s.Version != 2 || s.Confirmed != 4 || s.Members != 4 || len(s.Missing) != 0 {
+					return false
+				}
+			}
+			return true
+		})
+	})
+	t.Run("an older store is not followed", func(t *testing.T) {
+		f.t = t
+		backup := f.store.Snapshot()
+		f.waitVersion(f.publish("gold"), inForceWithin)
+		f.store.Restore(backup)
+		f.waitFor(startWithin, "a node reports the older store", func() bool {
+			for _, n := range f.nodes {
+				if n.Metrics().Counter("storeBehind") > 0 {
+					return true
+				}
+			}
+			return false
+		})
+		f.waitVersion(3, inForceWithin)
+	})
+}
+
+func TestStartWithoutPlatform(t *testing.T) {
+	f := newFixture(t)
+	f.publish("gold")
+	f.start("catania", 2)
+	f.waitVersion(1, startWithin)
+	f.store.SetFaults(objectapi.Faults{Down: true})
+
+	t.Run("a new node starts from its peers and says so", func(t *testing.T) {
+		f.t = t
+		f.start("catania", 1)
+		f.waitVersion(1, startWithin)
+		source := f.nodes[2].Status().VersionSource
+		if !strings.Contains(source, "peers, the platform is out") {
+			t.Errorf("the version comes from %q", source)
+		}
+	})
+	t.Run("a node alone refuses calls as not run", func(t *testing.T) {
+		alone := newFixture(t)
+		alone.store.SetFaults(objectapi.Faults{Down: true})
+		alone.start("agrigento", 1)
+		alone.waitFor(startWithin, "the reason", func() bool {
+			return alone.nodes[0].Status().VersionSource == "the platform is out and no ready peer answers"
+		})
+		assertRefused(t, alone.nodes[0], "notReady")
+	})
+	t.Run("a change after the outage is in force everywhere", func(t *testing.T) {
+		f.t = t
+		f.store.SetFaults(objectapi.Faults{})
+		f.waitVersion(f.publish("silver"), inForceWithin)
+	})
+}
+
+func assertRefused(t *testing.T, n *node.Node, rule string) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+n.Addresses().Caller.String()+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer crew-key")
+	r.Header.Set("Lavenderdeal-Service", "bookings")
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if answer.StatusCode < http.StatusBadRequest || !strings.Contains(string(body), rule) || !strings.Contains(string(body), "notRun") {
+		t.Fatalf("got status %d %s, want a refusal by %s that says notRun", answer.StatusCode, body, rule)
+	}
+}
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -25,14 +25,19 @@
 func (l *Loop) lookAtView() {
 	view := l.View.Load()
 	l.mu.Lock()
-	if view == nil || view.Self().Id == "" || (view == l.view && l.isSettled(view)) {
+	if view == nil || view.Self().Id == "" {
 		l.mu.Unlock()
 		return
 	}
-	l.view = view
+	settled := l.isSettled(view)
+	if view == l.view && settled == l.settled {
+		l.mu.Unlock()
+		return
+	}
+	l.view, l.settled = view, settled
 	self := view.Self()
 	l.readers = relay.Readers(view.Members(), self.Zone)
-	isReader := slices.Contains(l.readers, self.Id) && l.isSettled(view)
+	isReader := slices.Contains(l.readers, self.Id) && settled
 	became := isReader && !l.isReader
 	lost := l.isReader && !isReader
 	l.isReader = isReader
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -17,7 +17,7 @@
 	watchWait = 10 * time.Second
 	// firstPause and longestPause bound the pause after a failed read.
 	firstPause   = 100 * time.Millisecond
-	longestPause = 2 * time.Second
+	longestPause = 1 * time.Second
 	// exchangePeriod is about how often a reader compares heads with a reader
 	// of another zone.
 	exchangePeriod = 1 * time.Second
