--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,7 +29,7 @@
 // listed makes it invalid.
 func versionOf(number uint64, plan string, names ...string) source {
 	var s source
-	head := objects.Head{Version: number, Operation: fmt.Sprint(plan, names), ChangedAt: now.UTC()}
+	head := objects.Head{Version: number, Operation: strings.Join(append([]string{plan}, names...), "-"), ChangedAt: now.UTC()}
 	add := func(list any) string {
 		c := chunk.Of(mustMarshal(list))
 		s.chunks = append(s.chunks, c.Data)
