node, relay, httpserver: whole answers, drain and dying on real sockets

Cause: the call path had no tests on real sockets. They found: the load header of a node reached callers; net/http guessed a content type and a user agent; a server that was closed left a goroutine waiting for a signal; a change of the roster fenced its homes until the next round of questions.

Change: those are mended. The first roster waits until no node of the service came or went for 2 s, so that nodes which start together are all in it. A fence carries the confirmation of the roster before over to the next one.

--- a/core/fence/fence.go
+++ b/core/fence/fence.go
@@ -27,6 +27,7 @@
 package fence
 
 import (
+	"slices"
 	"time"
 
 	"lavenderdeal/core/home"
@@ -64,6 +65,9 @@
 	roster   *home.Roster
 	answers  map[string]time.Time
 	platform time.Time
+	// carried is when the roster before this one was confirmed last. This one
+	// was written later, and so was any that follows it.
+	carried time.Time
 	// platformOf is the newest confirmation by the platform that the node knows
 	// of, its own or another node's.
 	platformOf time.Time
@@ -82,9 +86,10 @@
 	if r.Epoch() <= f.roster.Epoch() {
 		return false
 	}
+	f.carried = f.confirmedAt()
 	f.roster = r
 	f.answers = make(map[string]time.Time)
-	f.platform, f.platformOf = time.Time{}, time.Time{}
+	f.platform = time.Time{}
 	return true
 }
 
@@ -135,28 +140,55 @@
 
 // Confirmed says whether the node may run calls with a key.
 func (f *Fence) Confirmed(now time.Time) bool {
-	return f.byPlatform(now) || f.ByPeers(now, Limit)
+	return isWithin(now, f.byPlatform(), Limit) || f.ByPeers(now, Limit)
 }
 
 // ByPeers says whether more than half of the roster confirmed it within a time.
 func (f *Fence) ByPeers(now time.Time, within time.Duration) bool {
-	if f.roster == nil || f.platformOf.IsZero() || elapsed(now, f.platformOf) >= PeerOnlyLimit {
+	if !isWithin(now, f.platformOf, PeerOnlyLimit) {
 		return false
 	}
+	confirmed, always := f.byPeers()
+	return always || isWithin(now, confirmed, within)
+}
+
+// byPeers returns the newest time at which more than half of the roster had
+// confirmed it, or always when the node itself is more than half.
+func (f *Fence) byPeers() (at time.Time, always bool) {
+	if f.roster == nil {
+		return time.Time{}, false
+	}
 	voters := f.roster.Voters()
-	confirmed := 0
+	var times []time.Time
+	own := 0
 	for _, v := range voters {
-		at, ok := f.answers[v.Id]
-		switch {
-		case v.Id == f.id && f.prepared <= f.roster.Epoch():
-			confirmed++
-		case ok && elapsed(now, at) < within:
-			confirmed++
+		if v.Id == f.id && f.prepared <= f.roster.Epoch() {
+			own = 1
+		} else if answered, ok := f.answers[v.Id]; ok {
+			times = append(times, answered)
 		}
 	}
-	return IsMajority(confirmed, len(voters))
+	needed := len(voters)/2 + 1 - own
+	switch {
+	case needed <= 0:
+		return time.Time{}, len(voters) > 0
+	case needed > len(times):
+		return time.Time{}, false
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[needed-1], false
 }
 
+// confirmedAt returns when the roster was confirmed last.
+func (f *Fence) confirmedAt() time.Time {
+	confirmed, _ := f.byPeers()
+	return newer(f.byPlatform(), confirmed)
+}
+
+// byPlatform returns when the platform confirmed the roster, or when the one
+// before it was confirmed.
+func (f *Fence) byPlatform() time.Time { return newer(f.platform, f.carried) }
+
 // IsMajority says whether n of a number of voters are more than half.
 func IsMajority(n, voters int) bool { return 2*n > voters }
 
@@ -169,8 +201,9 @@
 	return ChangeDelay
 }
 
-func (f *Fence) byPlatform(now time.Time) bool {
-	return f.roster != nil && !f.platform.IsZero() && elapsed(now, f.platform) < Limit
+// isWithin says whether a time is known and less than d ago.
+func isWithin(now, then time.Time, d time.Duration) bool {
+	return !then.IsZero() && elapsed(now, then) < d
 }
 
 // elapsed returns the time between two times. A process that was stopped sees it
--- a/internal/homes/change.go
+++ b/internal/homes/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -125,31 +126,39 @@
 
 // writeFirst creates the roster of a service that has none.
 func (l *Loop) writeFirst(ctx context.Context) {
-	now := time.Now()
-	l.mu.Lock()
-	if l.readyAt.IsZero() {
-		l.readyAt = now
-	}
-	waited := now.Sub(l.readyAt) >= settle
-	l.mu.Unlock()
-	if !waited {
+	entries, settled := l.settledEntries(time.Now())
+	if !settled {
 		return
 	}
 	if _, all := l.askAll(ctx, 0); !all || l.roster() != nil {
 		// A node that does not answer may know of a roster.
 		return
 	}
-	l.write(ctx, home.First(l.self.Service, l.readyEntries()), 0)
+	l.write(ctx, home.First(l.self.Service, entries), 0)
 }
 
-func (l *Loop) readyEntries() []objects.HomeEntry {
-	var entries []objects.HomeEntry
+// settledEntries returns the ready nodes of the service, and whether none came,
+// went or was about to come for a while. A node that is too late for the first
+// roster waits for the delay of a change.
+func (l *Loop) settledEntries(now time.Time) (entries []objects.HomeEntry, settled bool) {
+	starting := false
 	for _, m := range l.View.Load().Members() {
-		if m.Service == l.self.Service && m.State == messages.MemberStateReady {
+		if m.Service != l.self.Service {
+			continue
+		}
+		switch m.State {
+		case messages.MemberStateReady:
 			entries = append(entries, objects.HomeEntry{Id: m.Id, Peer: m.Peer})
+		case messages.MemberStateStarting:
+			starting = true
 		}
 	}
-	return entries
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if starting || !slices.Equal(entries, l.first) {
+		l.first, l.firstAt = entries, now
+	}
+	return entries, now.Sub(l.firstAt) >= settle
 }
 
 // propose writes the change that the membership calls for, if any.
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -51,16 +51,16 @@
 const (
 	// period is far below fence.Limit, so that a lost answer does not matter.
 	period = 2500 * time.Millisecond
-	// eagerPeriod holds while the node has no roster.
+	// eagerPeriod holds while the node has no confirmed roster.
 	eagerPeriod = 250 * time.Millisecond
 	// platformPeriod is that of the node that reads for its service.
 	platformPeriod = 10 * time.Second
 	// platformPatience is the age of the platform's confirmation at which the
 	// other nodes read too.
 	platformPatience = 25 * time.Second
-	// settle is how long a ready node waits for others before it writes the
-	// first roster.
-	settle = 1 * time.Second
+	// settle is how long no node must come or go before the first roster is
+	// written.
+	settle = 2 * time.Second
 	// absence is how long a node must be missing before it is removed.
 	absence      = 10 * time.Second
 	askTimeout   = 1 * time.Second
@@ -96,10 +96,12 @@
 	fence    *fence.Fence
 	absent   map[string]time.Time
 	replaced map[string]bool
-	readyAt  time.Time
-	readAt   time.Time
-	fenced   bool
-	left     bool
+	// first is what the first roster would be, and firstAt since when.
+	first   []objects.HomeEntry
+	firstAt time.Time
+	readAt  time.Time
+	fenced  bool
+	left    bool
 	// open lists the calls that ran when the records were handed over.
 	open []once.ID
 
@@ -366,7 +368,7 @@
 func (l *Loop) pause(ctx context.Context, kick <-chan struct{}) {
 	l.mu.Lock()
 	d := period
-	if l.fence.Roster() == nil {
+	if !l.fence.Confirmed(time.Now()) && !l.left {
 		d = eagerPeriod
 	}
 	l.mu.Unlock()
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -33,9 +33,10 @@
 
 // Server is one running HTTP server.
 type Server struct {
-	http  *http.Server
-	addr  netip.AddrPort
-	group errgroup.Group
+	http     *http.Server
+	listener net.Listener
+	addr     netip.AddrPort
+	group    errgroup.Group
 }
 
 // Start listens on addr and serves every request by handler. Port 0 takes any
@@ -54,12 +55,12 @@
 		return nil, errors.Wrap(err, "build HTTP server")
 	}
 	s := &Server{}
-	listening := make(chan net.Addr, 1)
+	listening := make(chan net.Listener, 1)
 	failed := make(chan error, 1)
 	s.group.Go(func() (err error) {
 		defer func() {
 			if cause := recover(); cause != nil {
-				// rest panics when it cannot listen.
+				// rest panics when it cannot listen or its listener was closed.
 				err = errors.Newf("serve HTTP on %s: %v", addr, cause)
 				failed <- err
 			}
@@ -70,15 +71,15 @@
 			srv.IdleTimeout = idleTimeout
 			srv.MaxHeaderBytes = maxHeaderBytes
 			srv.BaseContext = func(l net.Listener) context.Context {
-				listening <- l.Addr()
+				listening <- l
 				return context.Background()
 			}
 		})
 		return nil
 	})
 	select {
-	case local := <-listening:
-		s.addr = netip.MustParseAddrPort(local.String())
+	case s.listener = <-listening:
+		s.addr = netip.MustParseAddrPort(s.listener.Addr().String())
 		return s, nil
 	case err := <-failed:
 		return nil, err
@@ -91,11 +92,22 @@
 // Shutdown stops accepting requests and waits until the running ones have
 // finished or ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopAccepting()
 	return s.http.Shutdown(ctx)
 }
 
 // Close ends the server and all its connections at once.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	s.stopAccepting()
+	return s.http.Close()
+}
+
+// stopAccepting closes the listener before the server: rest would wait for a
+// signal to the process after a server that was closed by itself.
+func (s *Server) stopAccepting() {
+	_ = s.listener.Close()
+	_ = s.group.Wait()
+}
 
 // router serves every path by one handler and recovers from its panics.
 type router struct {
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,254 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lavenderdeal/core/plans"
+	"lavenderdeal/internal/httpserver"
+	"lavenderdeal/internal/publish"
+	"lavenderdeal/internal/standin/backend"
+	"lavenderdeal/internal/standin/objectapi"
+	"lavenderdeal/internal/units"
+	"lavenderdeal/io/caller"
+	"lavenderdeal/io/platform"
+	"lavenderdeal/schema/lists"
+	"lavenderdeal/schema/settings"
+)
+
+const (
+	readyLimit = 20 * time.Second
+	pollPause  = 10 * time.Millisecond
+	callLimit  = 20 * time.Second
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// testFleet is the nodes of service bookings with a stand-in platform, and one
+// node of service availability.
+type testFleet struct {
+	nodes     []*Node
+	servers   []*backend.Server
+	store     *objectapi.Store
+	storeAddr netip.AddrPort
+	// listeners are those of the servers, in the same order.
+	listeners []*httpserver.Server
+}
+
+// startFleet starts nodes, waits until they know each other and the homes of
+// idempotency keys, and ends them with the test.
+func startFleet(t *testing.T, bookings int) *testFleet {
+	t.Helper()
+	f := &testFleet{store: objectapi.New()}
+	store := startServer(t, f.store).Addr()
+	f.storeAddr = store
+	publisher := publish.Store{Objects: platform.New(store)}
+	if _, err := publisher.Apply(context.Background(), publish.Current{}, testCustomers(), testPlans(), publish.Change{Author: "test"}); err != nil {
+		t.Fatal(err)
+	}
+	for i := range bookings + 1 {
+		service := "bookings"
+		if i == bookings {
+			service = "availability"
+		}
+		server := backend.New(fmt.Sprint(service, i), 64)
+		f.servers = append(f.servers, server)
+		listener := startServer(t, server)
+		f.listeners = append(f.listeners, listener)
+		f.nodes = append(f.nodes, startNode(t, testSettings(service, listener.Addr(), store)))
+	}
+	waitFor(t, "the nodes and homes are ready", func() bool {
+		for _, n := range f.nodes {
+			if n.Status().Members["ready"] != len(f.nodes) {
+				return false
+			}
+
+			if _, _, confirmed := n.homes.Status(); !confirmed {
+				return false
+			}
+		}
+		return true
+	})
+	if bookings > 0 {
+		if _, voters, _ := f.nodes[0].homes.Status(); voters != bookings {
+			t.Fatalf("the first roster has %d of %d homes", voters, bookings)
+		}
+	}
+	return f
+}
+
+func startNode(t *testing.T, cfg settings.Settings) *Node {
+	t.Helper()
+	n, err := Start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Kill)
+	return n
+}
+
+func startServer(t *testing.T, handler http.Handler) *httpserver.Server {
+	t.Helper()
+	s, err := httpserver.Start(loopback, handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(readyLimit)
+	for !done() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", readyLimit, what)
+		}
+		time.Sleep(pollPause)
+	}
+}
+
+// outcome is what a caller saw.
+type outcome struct {
+	// err is set when the connection broke.
+	err     error
+	status  int
+	verdict string
+	rule    string
+	header  http.Header
+	body    string
+}
+
+// testCall is a call of the test.
+type testCall struct {
+	method string
+	path   string
+	key    string
+	id     string
+	work   string
+	body   string
+}
+
+func newClient(t *testing.T) *http.Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, Timeout: callLimit}
+}
+
+// send sends a call to service bookings through a node.
+func send(client *http.Client, through *Node, c testCall) outcome {
+	if c.method == "" {
+		c.method = http.MethodPost
+	}
+	r, err := http.NewRequest(c.method, "http://"+through.Addresses().Caller.String()+c.path, bytes.NewBufferString(c.body))
+	if err != nil {
+		return outcome{err: err}
+	}
+	r.GetBody = nil
+	r.Header.Set("Authorization", "Bearer crew-key")
+	r.Header.Set(caller.HeaderService, "bookings")
+	r.Header.Set(backend.HeaderCallID, c.id)
+	if c.work != "" {
+		r.Header.Set(backend.HeaderWork, c.work)
+	}
+	if c.key != "" {
+		// A name without capitals keeps the client of the test from sending twice.
+		r.Header["idempotency-key"] = []string{c.key}
+	}
+	answer, err := client.Do(r)
+	if err != nil {
+		return outcome{err: err}
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return outcome{
+		err:     err,
+		status:  answer.StatusCode,
+		verdict: answer.Header.Get(caller.HeaderVerdict),
+		rule:    answer.Header.Get(caller.HeaderRule),
+		header:  answer.Header,
+		body:    string(body),
+	}
+}
+
+func (o outcome) isOK() bool { return o.err == nil && o.status == http.StatusOK }
+
+func (o outcome) String() string {
+	return fmt.Sprintf("status %d, verdict %s, rule %s, error %v, body %q", o.status, o.verdict, o.rule, o.err, o.body)
+}
+
+// runs returns how often each call ran on all backend servers.
+func (f *testFleet) runs() map[string]int {
+	total := make(map[string]int)
+	for _, s := range f.servers {
+		for id, n := range s.Runs() {
+			total[id] += n
+		}
+	}
+	return total
+}
+
+// assertTrue checks all outcomes of one call against its number of runs. A
+// refusal speaks of its own sending only.
+func assertTrue(t *testing.T, id string, outcomes []outcome, runs int) {
+	t.Helper()
+	mayHaveRun, answered := false, false
+	for _, o := range outcomes {
+		mayHaveRun = mayHaveRun || o.verdict != "notRun"
+		answered = answered || o.isOK()
+	}
+	switch {
+	case runs > 1:
+		t.Errorf("call %s ran %d times: %v", id, runs, outcomes)
+	case runs > 0 && !mayHaveRun:
+		t.Errorf("call %s ran and was refused as not run: %v", id, outcomes)
+	case runs == 0 && answered:
+		t.Errorf("call %s did not run and was answered: %v", id, outcomes)
+	}
+}
+
+// inParallel runs fn for each number below n on a number of workers.
+func inParallel(workers, n int, fn func(i int)) {
+	var group errgroup.Group
+	group.SetLimit(workers)
+	for i := range n {
+		group.Go(func() error { fn(i); return nil })
+	}
+	_ = group.Wait()
+}
+
+func testSettings(service string, server, store netip.AddrPort) settings.Settings {
+	return settings.Settings{
+		Zone: "catania", Region: "sicily", Service: service,
+		Server:   settings.Server{Address: server, Slots: 64, Connections: 120, HealthPath: "/health"},
+		Listen:   settings.Listen{Caller: loopback, Peer: loopback, Call: loopback, Operator: loopback},
+		Platform: settings.Platform{Address: store, Timeout: units.Duration(2 * time.Second)},
+		PeerKey:  "test-peer-key-0123456789",
+		Drain:    settings.Drain{Announce: units.Duration(3 * time.Second), Finish: units.Duration(time.Minute)},
+	}
+}
+
+func testCustomers() lists.CustomerList {
+	return lists.CustomerList{Customers: []lists.Customer{
+		{Name: "crew-catania", Plan: "crew", KeyHashes: []string{plans.HashKey("crew-key")}},
+	}}
+}
+
+func testPlans() lists.PlanList {
+	timeout := units.Duration(10 * time.Second)
+	return lists.PlanList{
+		Services: []lists.Service{{Name: "bookings", Timeout: timeout}, {Name: "availability", Timeout: timeout}},
+		Plans: []lists.Plan{{Name: "crew", Uses: []lists.Use{
+			{Service: "bookings", Priority: "high"},
+			{Service: "availability", Priority: "urgent"},
+		}}},
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,11 +42,24 @@
 	}
 }
 
+// CopyRequestHeader copies the end-to-end headers of a request to the next hop
+// and keeps the client from adding its own.
+func CopyRequestHeader(to, from http.Header) {
+	CopyHeader(to, from)
+	if _, ok := to["User-Agent"]; !ok {
+		to["User-Agent"] = []string{""}
+	}
+}
+
 // Answer sends an answer on. When the answer breaks off in the middle, it
 // breaks the connection to the receiver by the panic http.ErrAbortHandler, so
 // that a short answer never looks whole. The caller closes the body.
 func Answer(w http.ResponseWriter, answer *http.Response) {
 	CopyHeader(w.Header(), answer.Header)
+	if _, ok := w.Header()["Content-Type"]; !ok {
+		// Keeps the server from guessing one.
+		w.Header()["Content-Type"] = nil
+	}
 	declared := make([]string, 0, len(answer.Trailer))
 	for name := range answer.Trailer {
 		w.Header().Add("Trailer", name)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -84,6 +84,13 @@
 		ID:             r.Header.Get(HeaderRequestID),
 		Chain:          r.Header.Get(HeaderChain),
 	}
+	if r.Method == http.MethodConnect {
+		return request, verdict.Refuse("connectUnsupported", "a node opens no tunnels")
+	}
+	if upgrade := r.Header.Get("Upgrade"); upgrade != "" && !strings.EqualFold(upgrade, "h2c") {
+		// An offer of h2c may be ignored; any other asks for a tunnel.
+		return request, verdict.Refuse("upgradeUnsupported", "a node changes no protocols")
+	}
 	if request.Service == "" {
 		request.Service, _, _ = strings.Cut(r.Host, ".")
 	}
@@ -156,15 +163,38 @@
 		}
 		return http.StatusServiceUnavailable
 	case verdict.MayHaveRun:
-		if v.Rule == "deadlinePassed" {
-			return http.StatusGatewayTimeout
+		if status, ok := statusOfDoubt[v.Rule]; ok {
+			return status
 		}
 		return http.StatusBadGateway
 	}
 	return http.StatusOK
 }
 
+// statusOfDoubt is the status of a refusal that may have run. Without an entry
+// it is 502.
+var statusOfDoubt = map[string]int{
+	"deadlinePassed": http.StatusGatewayTimeout,
+	"stillRunning":   http.StatusConflict,
+	"outcomeUnknown": http.StatusConflict,
+	"answerDropped":  http.StatusConflict,
+	"homeLost":       http.StatusConflict,
+	"homeMoved":      http.StatusConflict,
+	"keyTooOld":      http.StatusConflict,
+}
+
+// statusOfRule is the status of a refusal that did not run. Without an entry it
+// is 503.
 var statusOfRule = map[string]int{
+	"keyReused":             http.StatusUnprocessableEntity,
+	"keyTimeInFuture":       http.StatusBadRequest,
+	"keysUnsupported":       http.StatusNotImplemented,
+	"connectUnsupported":    http.StatusNotImplemented,
+	"upgradeUnsupported":    http.StatusNotImplemented,
+	"peerCallMalformed":     http.StatusBadRequest,
+	"peerKeyRefused":        http.StatusUnauthorized,
+	"bodyBroken":            http.StatusBadRequest,
+	"requestMalformed":      http.StatusBadRequest,
 	"timeoutMalformed":      http.StatusBadRequest,
 	"requestIdTooLong":      http.StatusBadRequest,
 	"idempotencyKeyTooLong": http.StatusBadRequest,
--- a/io/peercall/peercall.go
+++ b/io/peercall/peercall.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, nil, verdict.Refuse("requestMalformed", err.Error())
 	}
-	relay.CopyHeader(request.Header, r.Header)
+	relay.CopyRequestHeader(request.Header, r.Header)
 	caller.StripHeaders(request.Header)
 	request.Header.Del("Authorization")
 	request.Header.Set(headerCall, string(header))
@@ -85,6 +85,7 @@
 		return nil, nil, sendError(ctx, err)
 	}
 	load := loadOf(answer.Header)
+	answer.Header.Del(headerLoad)
 	if answer.Header.Get(caller.HeaderVerdict) != (verdict.Ran{}).String() {
 		defer answer.Body.Close()
 		return nil, load, refusalOf(answer)
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, verdict.Refuse("requestMalformed", err.Error())
 	}
-	relay.CopyHeader(request.Header, r.Header)
+	relay.CopyRequestHeader(request.Header, r.Header)
 	caller.StripHeaders(request.Header)
 	request.Header.Del("Authorization")
 	request.Header.Set(caller.HeaderChain, chain)
