--- a/cmd/lavenderdeal/plans_test.go
+++ b/cmd/lavenderdeal/plans_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log/handlers/memory"
+
 	"lavenderdeal/core/explain"
 	"lavenderdeal/core/listdiff"
 	"lavenderdeal/internal/httpserver"
@@ -264,6 +266,25 @@
 	})
 }
 
+// TestNodesConfirm has real nodes follow a change, one zone each.
+func TestNodesConfirm(t *testing.T) {
+	b := newBench(t)
+	var nodes []string
+	for _, zone := range []string{"catania", "palermo"} {
+		n := startNode(t, zone, b.platform, memory.New())
+		nodes = append(nodes, "--node", n.Addresses().Operator.String())
+	}
+	for version, plan := range []string{"crew", "council"} {
+		b.apply(t, plan)
+		b.plans(t, exitOK, "watch", "--limit", "30s", "--zones", "catania,palermo")
+		assertContains(t, b.stdout, fmt.Sprintf("catania: version %d, 1/1 nodes, confirmed", version+1))
+	}
+	b.run(t, exitOK, append([]string{"explain", "--kind", "versionApplied"}, nodes...)...)
+	assertContains(t, b.stdout, "versionApplied")
+	b.run(t, exitOK, append([]string{"status"}, nodes...)...)
+	assertContains(t, b.stdout, "catania", "palermo")
+}
+
 // firstLine calls then after the first write.
 type firstLine struct {
 	bytes.Buffer
--- a/cmd/lavenderdeal/secrets_test.go
+++ b/cmd/lavenderdeal/secrets_test.go
@@ -39,11 +39,17 @@
 	}
 	t.Cleanup(func() { _ = store.Close() })
 	lines := memory.New()
+	return startNode(t, "catania", store.Addr(), lines), lines
+}
+
+// startNode starts a node without a backend server.
+func startNode(t *testing.T, zone string, store netip.AddrPort, lines log.Handler) *node.Node {
+	t.Helper()
 	n, err := node.Start(settings.Settings{
-		Zone: "catania", Region: "sicily", Service: "availability",
+		Zone: zone, Region: "sicily", Service: "availability",
 		Server:      settings.Server{Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 1, Connections: 4, HealthPath: "/health"},
 		Listen:      settings.Listen{Caller: loopback, Peer: loopback, Call: loopback, Operator: loopback},
-		Platform:    settings.Platform{Address: store.Addr(), Token: testToken, Timeout: units.Duration(time.Second)},
+		Platform:    settings.Platform{Address: store, Token: testToken, Timeout: units.Duration(time.Second)},
 		PeerKey:     testPeerKey,
 		OperatorKey: testOperatorKey,
 		Drain:       settings.Drain{Finish: units.Duration(time.Second)},
@@ -52,7 +58,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(n.Kill)
-	return n, lines
+	return n
 }
 
 func TestKeysStayHidden(t *testing.T) {
