cmd: go above what nodes have in force

Cause: with a restored backup the status of the zones goes back too, and is written anew only after up to a minute; until then a change could reuse a number.

--- a/cmd/lavenderdeal/plans.go
+++ b/cmd/lavenderdeal/plans.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"os/user"
@@ -12,6 +13,7 @@
 
 	"lavenderdeal/core/listdiff"
 	"lavenderdeal/internal/publish"
+	"lavenderdeal/io/operator"
 	"lavenderdeal/schema/objects"
 )
 
@@ -80,9 +82,7 @@
 
 func plansApplyCommand(stdout, stderr io.Writer) *ffcli.Command {
 	flags := newOperatorFlags("lavenderdeal plans apply", stderr)
-	where := addPlatformFlags(flags)
-	form := addOutputFlag(flags)
-	after := flags.Uint64("after", 0, "apply only if this `version` is the newest; without it, whichever is")
+	c := addChangeFlags(flags, stdout, stderr)
 	reason := flags.String("reason", "", "why the lists change")
 	return &ffcli.Command{
 		Name:       "apply",
@@ -99,7 +99,7 @@
 			if err != nil {
 				return err
 			}
-			c := change{where: where, after: *after, form: *form, mine: &content, stdout: stdout, stderr: stderr}
+			c.mine = &content
 			return c.run(ctx, func(store publish.Store, current publish.Current) (objects.Head, error) {
 				return store.Apply(ctx, current, content.Customers, content.Plans, publish.Change{Author: author(), Reason: *reason})
 			})
@@ -109,9 +109,7 @@
 
 func plansRestoreCommand(stdout, stderr io.Writer) *ffcli.Command {
 	flags := newOperatorFlags("lavenderdeal plans restore", stderr)
-	where := addPlatformFlags(flags)
-	form := addOutputFlag(flags)
-	after := flags.Uint64("after", 0, "restore only if this `version` is the newest; without it, whichever is")
+	c := addChangeFlags(flags, stdout, stderr)
 	reason := flags.String("reason", "", "why the lists change")
 	return &ffcli.Command{
 		Name:       "restore",
@@ -129,7 +127,6 @@
 			if *reason == "" {
 				*reason = fmt.Sprintf("content of version %d", version)
 			}
-			c := change{where: where, after: *after, form: *form, stdout: stdout, stderr: stderr}
 			return c.run(ctx, func(store publish.Store, current publish.Current) (objects.Head, error) {
 				return store.Restore(ctx, current, version, publish.Change{Author: author(), Reason: *reason})
 			})
@@ -140,17 +137,29 @@
 // change is one change of the plans as the command line asks for it.
 type change struct {
 	where *platformFlags
+	form  *output
 	// after is the version that must be the newest, or 0.
 	after uint64
-	form  output
+	// above is a version that the new one must be above, or 0.
+	above uint64
+	// nodes are asked for the version that they have in force, so that the new one
+	// is above it.
+	nodes *nodeAddresses
 	// mine is the wanted content, to be compared with that of a winner; nil when
 	// it is not known.
 	mine           *listdiff.Lists
 	stdout, stderr io.Writer
 }
 
+func addChangeFlags(flags *flag.FlagSet, stdout, stderr io.Writer) *change {
+	c := &change{where: addPlatformFlags(flags), form: addOutputFlag(flags), nodes: addNodeFlag(flags), stdout: stdout, stderr: stderr}
+	flags.Uint64Var(&c.after, "after", 0, "go on only if this `version` is the newest; without it, whichever is")
+	flags.Uint64Var(&c.above, "above", 0, "make a number above this `version`; for a platform that was restored from a backup")
+	return c
+}
+
 // run makes the change on top of what the platform holds and reports it.
-func (c change) run(ctx context.Context, do func(publish.Store, publish.Current) (objects.Head, error)) error {
+func (c *change) run(ctx context.Context, do func(publish.Store, publish.Current) (objects.Head, error)) error {
 	store, closeStore, err := c.where.store()
 	if err != nil {
 		return err
@@ -170,10 +179,10 @@
 	if report := store.CollectWhenDue(ctx); report.Err != nil {
 		fmt.Fprintln(c.stderr, "lavenderdeal: old chunks were not removed this time:", report.Err)
 	}
-	return printHead(c.stdout, c.form, head)
+	return printHead(c.stdout, *c.form, head)
 }
 
-func (c change) try(ctx context.Context, store publish.Store, do func(publish.Store, publish.Current) (objects.Head, error)) (objects.Head, error) {
+func (c *change) try(ctx context.Context, store publish.Store, do func(publish.Store, publish.Current) (objects.Head, error)) (objects.Head, error) {
 	current, err := store.Current(ctx)
 	if err != nil {
 		return objects.Head{}, err
@@ -181,12 +190,32 @@
 	if c.after != 0 && current.Head.Version != c.after {
 		return objects.Head{}, &publish.ConflictError{Winner: winner(current)}
 	}
+	if err := c.askNodes(ctx, &current); err != nil {
+		return objects.Head{}, err
+	}
+	current.Highest = max(current.Highest, c.above)
 	if current.WentBack != "" {
 		fmt.Fprintf(c.stderr, "lavenderdeal: the platform seems to have been restored from a backup: %s; the new version goes above %d\n", current.WentBack, current.Highest)
 	}
 	return do(store, current)
 }
 
+// askNodes takes the versions that the nodes have in force into account. The
+// status of the zones may have been lost with a restored platform.
+func (c *change) askNodes(ctx context.Context, current *publish.Current) error {
+	answers := askAll(ctx, *c.nodes, (*operator.Client).Status)
+	if err := errorOf(answers); err != nil {
+		return errors.Wrap(err, "nothing was changed")
+	}
+	for _, a := range answers {
+		if a.Value.Version > current.Head.Version && current.WentBack == "" {
+			current.WentBack = fmt.Sprintf("node %s has version %d, the platform has %d", a.Node, a.Value.Version, current.Head.Version)
+		}
+		current.Highest = max(current.Highest, a.Value.Version)
+	}
+	return nil
+}
+
 func winner(current publish.Current) *objects.Head {
 	if current.Revision == 0 {
 		return nil
@@ -196,7 +225,7 @@
 
 // withDifference adds to a conflict what differs between the winner and the
 // wanted content.
-func (c change) withDifference(ctx context.Context, store publish.Store, conflict *publish.ConflictError) error {
+func (c *change) withDifference(ctx context.Context, store publish.Store, conflict *publish.ConflictError) error {
 	if conflict.Winner == nil || c.mine == nil {
 		return conflict
 	}
--- a/cmd/lavenderdeal/plans_test.go
+++ b/cmd/lavenderdeal/plans_test.go
@@ -204,6 +204,18 @@
 		assertContains(t, b.stdout, "version 21")
 		assertContains(t, b.stderr, "restored from a backup", "goes above 20")
 	})
+	t.Run("above a version", func(t *testing.T) {
+		b.plans(t, exitOK, "apply", "--above", "30", b.customersFile, b.plansFile)
+		assertContains(t, b.stdout, "version 31")
+	})
+	t.Run("above what a node has", func(t *testing.T) {
+		node := serveStatus(t, operator.Status{Version: 40})
+		b.plans(t, exitOK, "restore", "--node", node, "1")
+		assertContains(t, b.stdout, "version 41")
+		assertContains(t, b.stderr, "restored from a backup: node "+node+" has version 40, the platform has 31")
+		b.plans(t, exitFailed, "restore", "--node", "127.0.0.1:1", "1")
+		assertContains(t, b.stderr, "nothing was changed")
+	})
 	t.Run("platform unreachable", func(t *testing.T) {
 		b.api.SetFaults(objectapi.Faults{Down: true})
 		b.plans(t, exitFailed, "show")
@@ -266,6 +278,17 @@
 	})
 }
 
+// serveStatus serves a node's status and returns the address.
+func serveStatus(t *testing.T, status operator.Status) string {
+	t.Helper()
+	server, err := httpserver.Start(loopback, &operator.Handler{Status: func() operator.Status { return status }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	return server.Addr().String()
+}
+
 // TestNodesConfirm has real nodes follow a change, one zone each.
 func TestNodesConfirm(t *testing.T) {
 	b := newBench(t)
