--- a/cmd/lavenderdeal/main.go
+++ b/cmd/lavenderdeal/main.go
@@ -80,6 +80,8 @@
 			plansCommand(stdout, stderr),
 			statusCommand(stdout, stderr),
 			explainCommand(stdout, stderr),
+			drainCommand(stdout, stderr),
+			liftCommand(stdout, stderr),
 			settingsCommand(stdout, stderr),
 			demoCommand(stdout, stderr),
 			loadCommand(stdout, stderr),
--- a/cmd/lavenderdeal/nodes.go
+++ b/cmd/lavenderdeal/nodes.go
@@ -55,7 +55,7 @@
 			if err := nodes.check(args); err != nil {
 				return err
 			}
-			answers := askAll(ctx, *nodes, (*operator.Client).Status)
+			answers := askAll(ctx, *nodes, "", (*operator.Client).Status)
 			if err := printStatus(stdout, *form, answers); err != nil {
 				return err
 			}
@@ -81,7 +81,7 @@
 			if err := nodes.check(args); err != nil {
 				return err
 			}
-			answers := askAll(ctx, *nodes, (*operator.Client).Explain)
+			answers := askAll(ctx, *nodes, "", (*operator.Client).Explain)
 			if err := printRecords(stdout, *form, merge(answers, *kind)); err != nil {
 				return err
 			}
@@ -96,14 +96,15 @@
 	return &nodes
 }
 
-// askAll asks every node the same question. The answers are in order of nodes.
-func askAll[T any](ctx context.Context, nodes []netip.AddrPort, ask func(*operator.Client, context.Context) (T, error)) []nodeAnswer[T] {
+// askAll asks every node the same. The key may be empty for reads. The answers
+// are in order of nodes.
+func askAll[T any](ctx context.Context, nodes []netip.AddrPort, key string, ask func(*operator.Client, context.Context) (T, error)) []nodeAnswer[T] {
 	answers := make([]nodeAnswer[T], len(nodes))
 	var group errgroup.Group
 	group.SetLimit(nodesAtOnce)
 	for i, node := range nodes {
 		group.Go(func() error {
-			client := operator.NewClient(node, "")
+			client := operator.NewClient(node, key)
 			defer client.Close()
 			value, err := ask(client, ctx)
 			answers[i] = nodeAnswer[T]{Node: node, Value: value}
@@ -127,7 +128,7 @@
 	if len(failed) == 0 {
 		return nil
 	}
-	return errors.Newf("%d of %d nodes did not answer\n%s", len(failed), len(answers), strings.Join(failed, "\n"))
+	return errors.Newf("%d of %d nodes did not answer or refused\n%s", len(failed), len(answers), strings.Join(failed, "\n"))
 }
 
 func printStatus(stdout io.Writer, form output, answers []nodeAnswer[operator.Status]) error {
--- /dev/null
+++ b/cmd/lavenderdeal/nodes_write.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"lavenderdeal/io/operator"
+)
+
+func drainCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := newFlags("lavenderdeal drain", stderr)
+	nodes, key := addNodeFlag(flags), addOperatorKeyFlag(flags)
+	return &ffcli.Command{
+		Name:       "drain",
+		ShortUsage: "lavenderdeal drain --node ADDRESS [--node ADDRESS...]",
+		ShortHelp:  "make nodes leave without cutting off a call",
+		LongHelp: "The same as SIGTERM to each node.\n\n" +
+			"Example:\n  LAVENDERDEAL_OPERATOR_KEY=... lavenderdeal drain --node 127.0.0.1:7104\n\nExits with 0 when all nodes are leaving, 1 when one did not take it.",
+		FlagSet: flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			return tellAll(ctx, *nodes, *key, stdout, "leaving", (*operator.Client).Drain)
+		},
+	}
+}
+
+func liftCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := newFlags("lavenderdeal lift", stderr)
+	nodes, key := addNodeFlag(flags), addOperatorKeyFlag(flags)
+	return &ffcli.Command{
+		Name:       "lift",
+		ShortUsage: "lavenderdeal lift --node ADDRESS [--node ADDRESS...] FINGERPRINT",
+		ShortHelp:  "let calls with a fingerprint out of quarantine",
+		LongHelp: "The fingerprint stands in the refusal of a call and in lavenderdeal explain.\n\n" +
+			"Example:\n  LAVENDERDEAL_OPERATOR_KEY=... lavenderdeal lift --node 127.0.0.1:7104 4f1c2a\n\nExits with 0 when all nodes took it, 1 when one did not.",
+		FlagSet: flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usageError("want one fingerprint")
+			}
+			return tellAll(ctx, *nodes, *key, stdout, "lifted", func(c *operator.Client, ctx context.Context) error {
+				return c.LiftQuarantine(ctx, args[0])
+			})
+		},
+	}
+}
+
+func addOperatorKeyFlag(flags *flag.FlagSet) *string {
+	return flags.String("operator-key", "", "operator `key`; better in LAVENDERDEAL_OPERATOR_KEY than on the command line")
+}
+
+// tellAll makes the same write on every node and prints which took it.
+func tellAll(ctx context.Context, nodes nodeAddresses, key string, stdout io.Writer, done string, write func(*operator.Client, context.Context) error) error {
+	if err := nodes.check(nil); err != nil {
+		return err
+	}
+	// Only the key is taken from the environment: nodes that were set there for
+	// lavenderdeal status are not to be drained by oversight.
+	if key == "" {
+		key = os.Getenv(environmentPrefix + "_OPERATOR_KEY")
+	}
+	if key == "" {
+		return usageError("--operator-key or LAVENDERDEAL_OPERATOR_KEY is needed")
+	}
+	answers := askAll(ctx, nodes, key, func(c *operator.Client, ctx context.Context) (bool, error) {
+		err := write(c, ctx)
+		return err == nil, err
+	})
+	for _, a := range answers {
+		if a.Value {
+			fmt.Fprintln(stdout, a.Node, done)
+		}
+	}
+	return errorOf(answers)
+}
--- a/cmd/lavenderdeal/plans.go
+++ b/cmd/lavenderdeal/plans.go
@@ -203,7 +203,7 @@
 // askNodes takes the versions that the nodes have in force into account. The
 // status of the zones may have been lost with a restored platform.
 func (c *change) askNodes(ctx context.Context, current *publish.Current) error {
-	answers := askAll(ctx, *c.nodes, (*operator.Client).Status)
+	answers := askAll(ctx, *c.nodes, "", (*operator.Client).Status)
 	if err := errorOf(answers); err != nil {
 		return errors.Wrap(err, "nothing was changed")
 	}
--- a/cmd/lavenderdeal/plans_test.go
+++ b/cmd/lavenderdeal/plans_test.go
@@ -356,7 +356,7 @@
 	t.Run("one node does not answer", func(t *testing.T) {
 		b.run(t, exitFailed, "status", "--node", addresses[0], "--node", "127.0.0.1:1")
 		assertContains(t, b.stdout, "catania", "no answer")
-		assertContains(t, b.stderr, "1 of 2 nodes did not answer", "127.0.0.1:1")
+		assertContains(t, b.stderr, "1 of 2 nodes did not answer or refused", "127.0.0.1:1")
 	})
 	t.Run("no node", func(t *testing.T) { b.run(t, exitUsage, "status") })
 }
--- a/cmd/lavenderdeal/secrets_test.go
+++ b/cmd/lavenderdeal/secrets_test.go
@@ -94,11 +94,21 @@
 		t.Fatal("the node drains before it was asked")
 	default:
 	}
-	for range 2 {
-		if err := client.Drain(t.Context()); err != nil {
-			t.Fatal(err)
-		}
+	if err := client.Drain(t.Context()); err != nil {
+		t.Fatal(err)
 	}
+	b := &bench{}
+	address := n.Addresses().Operator.String()
+	b.run(t, exitUsage, "drain", "--node", address)
+	b.run(t, exitFailed, "drain", "--node", address, "--operator-key", wrongKey)
+	assertHidden(t, "message", b.stderr)
+	b.run(t, exitFailed, "lift", "--node", address, "--operator-key", testOperatorKey, "unknown")
+	assertContains(t, b.stderr, "fingerprintUnknown")
+	t.Setenv("LAVENDERDEAL_OPERATOR_KEY", testOperatorKey)
+	t.Setenv("LAVENDERDEAL_NODE", address)
+	b.run(t, exitUsage, "drain")
+	b.run(t, exitOK, "drain", "--node", address)
+	assertContains(t, b.stdout, address+" leaving")
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	waitForStop(ctx, n)
