--- a/cmd/lavenderdeal/plans_test.go
+++ b/cmd/lavenderdeal/plans_test.go
@@ -297,7 +297,9 @@
 		n := startNode(t, zone, b.platform, memory.New())
 		nodes = append(nodes, "--node", n.Addresses().Operator.String())
 	}
+	var backup map[string][]byte
 	for version, plan := range []string{"crew", "council"} {
+		backup = b.api.Snapshot()
 		b.apply(t, plan)
 		b.plans(t, exitOK, "watch", "--limit", "30s", "--zones", "catania,palermo")
 		assertContains(t, b.stdout, fmt.Sprintf("catania: version %d, 1/1 nodes, confirmed", version+1))
@@ -306,6 +308,14 @@
 	assertContains(t, b.stdout, "versionApplied")
 	b.run(t, exitOK, append([]string{"status"}, nodes...)...)
 	assertContains(t, b.stdout, "catania", "palermo")
+
+	// The platform goes back to version 1, and the status of the zones with it.
+	b.api.Restore(backup)
+	b.plans(t, exitOK, "restore", append(nodes, "1")...)
+	assertContains(t, b.stderr, "restored from a backup")
+	assertContains(t, b.stdout, "version 3")
+	b.plans(t, exitOK, "watch", "--limit", "30s", "--zones", "catania,palermo")
+	assertContains(t, b.stdout, "catania: version 3, 1/1 nodes, confirmed")
 }
 
 // firstLine calls then after the first write.
