border: copy the defaults of a schema, decode unchanged JSON once

Cause: the default of an object was filled in place, inside the schema: decoders used at once raced (seen by the race detector; now a test). Change: a copy is filled.

--- a/internal/border/border.go
+++ b/internal/border/border.go
@@ -20,6 +20,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -96,13 +97,17 @@
 	for _, o := range overrides {
 		override(document, strings.Split(o.Field, "."), o.Value)
 	}
+	fields := countFields(document)
 	document = fillDefaults(d.root, d.start, document)
 	if err := d.schema.Validate(document); err != nil {
 		return value, faultsOf(err, node)
 	}
-	text, err := json.Marshal(document)
-	if err != nil {
-		return value, Faults{{Message: err.Error()}}
+	text := data
+	isAsRead := node == nil && len(overrides) == 0 && countFields(document) == fields
+	if !isAsRead {
+		if text, err = json.Marshal(document); err != nil {
+			return value, Faults{{Message: err.Error()}}
+		}
 	}
 	if err := json.Unmarshal(text, &value); err != nil {
 		return value, Faults{typeFault(err, node)}
@@ -161,6 +166,10 @@
 
 func defaultOf(root, schema map[string]any) (any, bool) {
 	if value, found := schema["default"]; found {
+		// Defaults of its fields go into an object; that of the schema stays.
+		if object, ok := value.(map[string]any); ok {
+			value = maps.Clone(object)
+		}
 		return value, true
 	}
 	resolved := resolve(root, schema)
--- a/internal/border/border_test.go
+++ b/internal/border/border_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 
+	"golang.org/x/sync/errgroup"
+
 	"lavenderdeal/internal/border"
 	"lavenderdeal/schema/lists"
 	"lavenderdeal/schema/objects"
@@ -104,6 +106,20 @@
 	}
 }
 
+func TestDecodeAtOnce(t *testing.T) {
+	// The race detector watches.
+	var group errgroup.Group
+	for range 8 {
+		group.Go(func() error {
+			_, err := settingsDecoder.Decode([]byte(goodSettings))
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 func FuzzSettings(f *testing.F) {
 	fuzz(f, settingsDecoder, goodSettings, "zone: [", "{}", "a: &a [*a]", "---\n---\n", "? {a: b}\n: c", `{"zone":"a","zone":"b"}`)
 }
