publish: check a change as a node would before it is written

Cause: a head with an author of 200 characters, or an entry without keys made in code, was written and then refused by every node and by every later command. Change: the head and each new chunk pass the border first. Mutations caught: head unchecked, new chunks unchecked, unknown fields ignored.

--- a/cmd/lavenderdeal/lists.go
+++ b/cmd/lavenderdeal/lists.go
@@ -53,6 +53,9 @@
 
 // checkLists reads one or both lists and collects every fault in them.
 func checkLists(names []string) (*listFiles, error) {
+	if err := noFlags(names); err != nil {
+		return nil, err
+	}
 	if len(names) == 0 || len(names) > 2 {
 		return nil, usageError("want the list of customers, the list of plans, or both")
 	}
@@ -159,7 +162,11 @@
 	for _, fault := range f.faults {
 		lines = append(lines, fault.String())
 	}
-	return errors.Newf("%d faults\n%s", len(lines), strings.Join(lines, "\n"))
+	number := "1 fault"
+	if len(lines) > 1 {
+		number = fmt.Sprintf("%d faults", len(lines))
+	}
+	return errors.Newf("%s\n%s", number, strings.Join(lines, "\n"))
 }
 
 // isCustomers says whether a document looks like the list of customers.
--- a/cmd/lavenderdeal/plans.go
+++ b/cmd/lavenderdeal/plans.go
@@ -7,6 +7,7 @@
 	"io"
 	"os/user"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -83,7 +84,6 @@
 func plansApplyCommand(stdout, stderr io.Writer) *ffcli.Command {
 	flags := newOperatorFlags("lavenderdeal plans apply", stderr)
 	c := addChangeFlags(flags, stdout, stderr)
-	reason := flags.String("reason", "", "why the lists change")
 	return &ffcli.Command{
 		Name:       "apply",
 		ShortUsage: "lavenderdeal plans apply [flags] CUSTOMERS-FILE PLANS-FILE",
@@ -101,7 +101,7 @@
 			}
 			c.mine = &content
 			return c.run(ctx, func(store publish.Store, current publish.Current) (objects.Head, error) {
-				return store.Apply(ctx, current, content.Customers, content.Plans, publish.Change{Author: author(), Reason: *reason})
+				return store.Apply(ctx, current, content.Customers, content.Plans, publish.Change{Author: c.author, Reason: c.reason})
 			})
 		},
 	}
@@ -110,7 +110,6 @@
 func plansRestoreCommand(stdout, stderr io.Writer) *ffcli.Command {
 	flags := newOperatorFlags("lavenderdeal plans restore", stderr)
 	c := addChangeFlags(flags, stdout, stderr)
-	reason := flags.String("reason", "", "why the lists change")
 	return &ffcli.Command{
 		Name:       "restore",
 		ShortUsage: "lavenderdeal plans restore [flags] VERSION",
@@ -124,11 +123,11 @@
 			if err != nil {
 				return err
 			}
-			if *reason == "" {
-				*reason = fmt.Sprintf("content of version %d", version)
+			if c.reason == "" {
+				c.reason = fmt.Sprintf("content of version %d", version)
 			}
 			return c.run(ctx, func(store publish.Store, current publish.Current) (objects.Head, error) {
-				return store.Restore(ctx, current, version, publish.Change{Author: author(), Reason: *reason})
+				return store.Restore(ctx, current, version, publish.Change{Author: c.author, Reason: c.reason})
 			})
 		},
 	}
@@ -138,6 +137,8 @@
 type change struct {
 	where *platformFlags
 	form  *output
+	// author and reason are kept with the version.
+	author, reason string
 	// after is the version that must be the newest, or 0.
 	after uint64
 	// above is a version that the new one must be above, or 0.
@@ -154,6 +155,8 @@
 func addChangeFlags(flags *flag.FlagSet, stdout, stderr io.Writer) *change {
 	c := &change{where: addPlatformFlags(flags), form: addOutputFlag(flags), nodes: addNodeFlag(flags), stdout: stdout, stderr: stderr}
 	flags.Uint64Var(&c.after, "after", 0, "go on only if this `version` is the newest; without it, whichever is")
+	flags.StringVar(&c.reason, "reason", "", "why the lists change")
+	flags.StringVar(&c.author, "author", author(), "who changes the lists (LAVENDERDEAL_AUTHOR)")
 	flags.Uint64Var(&c.above, "above", 0, "make a number above this `version`; for a platform that was restored from a backup")
 	return c
 }
@@ -282,6 +285,9 @@
 }
 
 func versionArgument(args []string) (uint64, error) {
+	if err := noFlags(args); err != nil {
+		return 0, err
+	}
 	if len(args) != 1 {
 		return 0, usageError("want one version")
 	}
@@ -292,6 +298,16 @@
 	return version, nil
 }
 
+// noFlags finds flags behind the arguments, where they are not read as flags.
+func noFlags(args []string) error {
+	for _, arg := range args {
+		if strings.HasPrefix(arg, "-") {
+			return usageError("%s: flags go before files and versions", arg)
+		}
+	}
+	return nil
+}
+
 func noArguments(args []string) error {
 	if len(args) > 0 {
 		return usageError("unexpected %q", args[0])
--- a/cmd/lavenderdeal/plans_test.go
+++ b/cmd/lavenderdeal/plans_test.go
@@ -137,6 +137,10 @@
 	})
 	t.Run("one list alone", func(t *testing.T) { b.run(t, exitOK, "plans", "check", b.customersFile) })
 	t.Run("same list twice", func(t *testing.T) { b.run(t, exitUsage, "plans", "check", b.plansFile, b.plansFile) })
+	t.Run("flag behind a file", func(t *testing.T) {
+		b.run(t, exitUsage, "plans", "check", b.plansFile, "-o")
+		assertContains(t, b.stderr, "flags go before files")
+	})
 	t.Run("no file", func(t *testing.T) { b.run(t, exitUsage, "plans", "check") })
 	t.Run("missing file", func(t *testing.T) { b.run(t, exitFailed, "plans", "check", "/nowhere.yaml") })
 }
@@ -205,8 +209,9 @@
 		assertContains(t, b.stderr, "restored from a backup", "goes above 20")
 	})
 	t.Run("above a version", func(t *testing.T) {
+		t.Setenv("LAVENDERDEAL_AUTHOR", "night-shift")
 		b.plans(t, exitOK, "apply", "--above", "30", b.customersFile, b.plansFile)
-		assertContains(t, b.stdout, "version 31")
+		assertContains(t, b.stdout, "version 31", "by night-shift")
 	})
 	t.Run("above what a node has", func(t *testing.T) {
 		node := serveStatus(t, operator.Status{Version: 40})
--- a/core/collect/collect.go
+++ b/core/collect/collect.go
@@ -197,10 +197,13 @@
 }
 
 // name adds the chunks of a head to those that stay. A head that cannot be read
-// ends the collection, since its chunks are not known.
+// ends the collection, since its chunks are not known. The same holds for a head
+// with fields of a newer release, which may name chunks too.
 func (m *Machine) name(value []byte) {
 	var head objects.Head
-	if err := json.Unmarshal(value, &head); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(value))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&head); err != nil {
 		m.end(errors.Wrap(err, "a head in the platform cannot be read"))
 		return
 	}
--- a/core/collect/collect_test.go
+++ b/core/collect/collect_test.go
@@ -116,6 +116,10 @@
 			name: "unreadable head", keep: 2, fails: true,
 			change: func(w *world) { w.headValue = []byte("{") },
 		},
+		{
+			name: "head of a newer release", keep: 2, fails: true,
+			change: func(w *world) { w.headValue = []byte(`{"version": 7, "moreChunks": ["lost"]}`) },
+		},
 		{
 			name: "lost answer to the rewriting", keep: 2, deleted: []string{"chunks/lost"},
 			change: func(w *world) { w.fenceFails = 2 },
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -20,6 +20,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/base64"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -208,6 +209,9 @@
 		if err != nil {
 			return objects.Head{}, err
 		}
+		if err := checkHead(m.Head()); err != nil {
+			return objects.Head{}, err
+		}
 		s.run(ctx, m)
 		if _, moved := m.Result().(commit.Moved); !moved {
 			return outcome(m.Result())
@@ -236,12 +240,11 @@
 	if err != nil {
 		return commit.Change{}, err
 	}
-	for _, chunks := range [][]chunk.Chunk{customerChunks, planChunks} {
-		for _, c := range chunks {
-			if len(c.Data) > platform.MaxValue {
-				return commit.Change{}, errors.Newf("a part of the lists has %d bytes, at most %d fit in the platform", len(c.Data), platform.MaxValue)
-			}
-		}
+	if err := checkNew(customerChunks, previous.CustomerChunks, customersDecoder); err != nil {
+		return commit.Change{}, err
+	}
+	if err := checkNew(planChunks, previous.PlanChunks, plansDecoder); err != nil {
+		return commit.Change{}, err
 	}
 	return commit.Change{
 		Operation: newOperation(),
@@ -253,6 +256,37 @@
 	}, nil
 }
 
+// checkNew checks the chunks that the head before does not name as a node would.
+// What is written and then refused by every node would keep all later versions
+// from being made on top of it.
+func checkNew[T any](chunks []chunk.Chunk, previous []string, decoder *border.Decoder[T]) error {
+	known := make(map[string]bool, len(previous))
+	for _, hash := range previous {
+		known[hash] = true
+	}
+	for _, c := range chunks {
+		if known[c.Hash] {
+			continue
+		}
+		if len(c.Data) > platform.MaxValue {
+			return errors.Newf("a part of the lists has %d bytes, at most %d fit in the platform", len(c.Data), platform.MaxValue)
+		}
+		if _, err := decoder.Decode(c.Data); err != nil {
+			return errors.Wrap(err, "the lists are not valid")
+		}
+	}
+	return nil
+}
+
+func checkHead(head objects.Head) error {
+	value, err := json.Marshal(head)
+	if err != nil {
+		return err
+	}
+	_, err = DecodeHead(value)
+	return errors.Wrap(err, "the change is not valid")
+}
+
 func outcome(result commit.Result) (objects.Head, error) {
 	switch r := result.(type) {
 	case commit.Succeeded:
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -132,12 +132,19 @@
 	t.Run("lists with a fault", func(t *testing.T) {
 		api, store := start(t)
 		_, err := store.Apply(t.Context(), publish.Current{}, customersOf(1), lists.PlanList{}, change)
-		if err == nil || !strings.Contains(err.Error(), "plan basic is not listed") {
-			t.Errorf("error %v", err)
-		}
-		if n := api.Counts().Writes; n != 0 {
-			t.Errorf("%d writes, want none", n)
-		}
+		assertNothingWritten(t, api, err, "plan basic is not listed")
+	})
+	t.Run("author that nodes would refuse", func(t *testing.T) {
+		api, store := start(t)
+		_, err := store.Apply(t.Context(), publish.Current{}, customersOf(1), planList(), publish.Change{Author: strings.Repeat("x", 1000)})
+		assertNothingWritten(t, api, err, "author")
+	})
+	t.Run("entry that nodes would refuse", func(t *testing.T) {
+		api, store := start(t)
+		customers := customersOf(1)
+		customers.Customers[0].KeyHashes = nil
+		_, err := store.Apply(t.Context(), publish.Current{}, customers, planList(), change)
+		assertNothingWritten(t, api, err, "customers[0].keyHashes")
 	})
 	t.Run("platform unreachable", func(t *testing.T) {
 		api, store := start(t)
@@ -287,6 +294,16 @@
 	}
 }
 
+func assertNothingWritten(t *testing.T, api *objectapi.Store, err error, want string) {
+	t.Helper()
+	if err == nil || !strings.Contains(err.Error(), want) {
+		t.Errorf("error %v, want %q in it", err, want)
+	}
+	if n := api.Counts().Writes; n != 0 {
+		t.Errorf("%d writes, want none", n)
+	}
+}
+
 func assertNewest(t *testing.T, s publish.Store, head objects.Head) {
 	t.Helper()
 	if c := current(t, s); c.Head.Operation != head.Operation {
