--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -7,9 +7,12 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"lavenderdeal/core/collect"
 	"lavenderdeal/core/plans"
 	"lavenderdeal/internal/httpserver"
@@ -197,6 +200,64 @@
 	return c.Objects.Put(ctx, key, value, after)
 }
 
+// TestRace has publishers race each other and a collection over real sockets,
+// while answers are lost.
+func TestRace(t *testing.T) {
+	const publishers, changes = 4, 6
+	api, store := start(t)
+	apply(t, store, customersOf(1))
+	var mu sync.Mutex
+	made, refused := map[string]bool{}, 0
+	var group errgroup.Group
+	for p := range publishers {
+		group.Go(func() error {
+			for n := range changes {
+				api.SetFaults(objectapi.Faults{LoseAnswers: 1})
+				c, err := store.Current(t.Context())
+				if err != nil {
+					return err
+				}
+				head, err := store.Apply(t.Context(), c, customersOf(1+p+publishers*n), planList(), change)
+				var unknown *publish.UnknownError
+				var superseded *publish.SupersededError
+				mu.Lock()
+				switch {
+				case err == nil, errors.As(err, &superseded):
+					made[head.Operation] = true
+				case errors.As(err, &unknown):
+					t.Errorf("error %v, want the outcome to be known", err)
+				default:
+					// Each other error says that nothing was changed.
+					refused++
+				}
+				mu.Unlock()
+				store.Collect(t.Context(), collect.WithMinAge(0))
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	heads, err := store.History(t.Context(), 1+publishers*changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The first version was made before the race.
+	if len(heads) != 1+len(made) || len(made)+refused != publishers*changes {
+		t.Errorf("%d versions, %d changes made and %d refused", len(heads), len(made), refused)
+	}
+	for i, head := range heads[:len(heads)-1] {
+		if !made[head.Operation] || head.Version <= heads[i+1].Version {
+			t.Errorf("version %d by operation %s after version %d, made %t", head.Version, head.Operation, heads[i+1].Version, made[head.Operation])
+		}
+		if _, _, err := store.Load(t.Context(), head); err != nil {
+			t.Errorf("version %d: %v", head.Version, err)
+		}
+	}
+	t.Logf("%d made, %d refused", len(made), refused)
+}
+
 func TestRestoredPlatform(t *testing.T) {
 	api, store := start(t)
 	apply(t, store, customersOf(1))
