member: tests that single mutations had slipped through

Suspicion timers of a paused node, halves of a zone, processes at one address, a leaving member that dies, relayed probes and pushes between 24 zones are checked by a test each.

--- a/core/member/cluster_test.go
+++ b/core/member/cluster_test.go
@@ -228,7 +228,9 @@
 
 // run lets time pass in small steps; each packet arrives in the step after it
 // was sent.
-func (c *cluster) run(d time.Duration) {
+func (c *cluster) run(d time.Duration) { c.runInSteps(d, step) }
+
+func (c *cluster) runInSteps(d, step time.Duration) {
 	for end := c.now.Add(d); c.now.Before(end); {
 		for range c.network.Len() {
 			c.deliver(0)
@@ -257,13 +259,19 @@
 		return
 	}
 	n.checked = n.table.Revision()
+	seen := make(map[string]messages.Member, len(n.seen))
 	for _, m := range n.table.Members() {
-		before, ok := n.seen[m.Id]
-		n.seen[m.Id] = m
-		if ok {
+		seen[m.Id] = m
+		if before, ok := n.seen[m.Id]; ok {
 			assertForward(c.t, n.self.Id, before, m)
 		}
 	}
+	for id, before := range n.seen {
+		if _, ok := seen[id]; !ok && before.Health != member.Failed {
+			c.t.Fatalf("%s forgot %s, which has not failed", n.self.Id, id)
+		}
+	}
+	n.seen = seen
 }
 
 func assertForward(t fataler, observer string, before, after messages.Member) {
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -30,7 +31,7 @@
 }
 
 func TestAnnounce(t *testing.T) {
-	c := newFleet(t, 6, 40)
+	c := newFleet(t, 24, 10)
 	t.Run("leaving", func(t *testing.T) {
 		c.setState(c.nodes[57], messages.MemberStateLeaving)
 		t.Logf("known everywhere after %s", c.runUntil(stateLimit, c.isAgreed))
@@ -73,18 +74,27 @@
 		assertState(t, c.nodes[25], old.self.Id, messages.MemberStateFailed)
 	})
 	t.Run("a member that one node cannot reach stays", func(t *testing.T) {
+		c.nodes[0].reports, c.nodes[1].reports = nil, nil
 		c.network.Cut(c.nodes[0].self.Peer, c.nodes[1].self.Peer)
 		c.run(time.Minute)
 		c.assertAgreed()
+		assertReported(t, c.nodes[0], "memberSuspect", false)
+		assertReported(t, c.nodes[1], "memberSuspect", false)
 		c.network.HealAll()
 	})
+	t.Run("a leaving member that dies takes no calls", func(t *testing.T) {
+		c.setState(c.nodes[6], messages.MemberStateLeaving)
+		c.runUntil(stateLimit, c.isAgreed)
+		c.nodes[6].isDead = true
+		c.runUntil(30*time.Second, c.isAgreed)
+	})
 	t.Run("tombstones go", func(t *testing.T) {
 		n := c.nodes[0]
 		for range 40 {
 			c.now = c.now.Add(2 * time.Second)
 			n.table.Tick(c.now)
 		}
-		before := len(n.table.Members())
+		before, digest := len(n.table.Members()), n.table.Digest()
 		for range int(member.TombstoneLife / (2 * time.Second)) {
 			c.now = c.now.Add(2 * time.Second)
 			n.table.Tick(c.now)
@@ -92,6 +102,9 @@
 		if after := len(n.table.Members()); after >= before {
 			t.Fatalf("%d members, before %d", after, before)
 		}
+		if n.table.Digest() != digest {
+			t.Fatal("a node without a tombstone differs from one that still has it")
+		}
 	})
 }
 
@@ -118,17 +131,45 @@
 	assertReported(t, n, "memberSuspect", false)
 }
 
-func TestSuspicionSurvivesPause(t *testing.T) {
+// TestOldSuspicion pauses a node that suspects another. Its old timer ends
+// nothing, also after the node has heard from somebody.
+func TestOldSuspicion(t *testing.T) {
 	c := newFleet(t, 1, 5)
 	n, dead := c.nodes[0], c.nodes[1]
 	dead.isDead = true
 	c.runUntil(20*time.Second, func() bool { return stateOf(n, dead.self.Id) == messages.MemberStateSuspect })
-	n.reports = nil
 	c.now = c.now.Add(time.Minute)
-	n.table.Tick(c.now)
+	effects := n.table.Tick(c.now)
+	assertState(t, n, dead.self.Id, messages.MemberStateSuspect)
+	for _, effect := range effects {
+		if send, ok := effect.(member.Send); ok {
+			n.table.Answered(c.now, send, member.Ack{From: c.at(send.To).self.Id, Digest: n.table.Digest()})
+			break
+		}
+	}
+	if n.table.IsStale() {
+		t.Fatal("it is still stale")
+	}
+	n.table.Tick(c.now.Add(step))
 	assertState(t, n, dead.self.Id, messages.MemberStateSuspect)
 }
 
+// TestHalves splits a zone whose nodes know no living seed.
+func TestHalves(t *testing.T) {
+	c := newFleet(t, 1, 7)
+	c.nodes[0].isDead = true
+	c.run(30 * time.Second)
+	for _, a := range c.nodes[1:4] {
+		for _, b := range c.nodes[4:] {
+			c.network.Cut(a.self.Peer, b.self.Peer)
+		}
+	}
+	c.run(time.Minute)
+	assertState(t, c.nodes[1], c.nodes[5].self.Id, messages.MemberStateFailed)
+	c.network.HealAll()
+	t.Logf("agreed %s after healing", c.runUntil(30*time.Second, c.isAgreed))
+}
+
 func TestOneAddress(t *testing.T) {
 	t.Run("the later process stays", func(t *testing.T) {
 		c := newFleet(t, 2, 4)
@@ -144,6 +185,20 @@
 		assertState(t, c.nodes[5], newer.self.Id, messages.MemberStateStarting)
 		assertNoWar(t, newer, old)
 	})
+	t.Run("a process that is ready yields", func(t *testing.T) {
+		older, newer := tableAt(10, messages.MemberStateReady), tableAt(20, messages.MemberStateReady)
+		tellEachOther(older, newer)
+		if !older.IsSuperseded() || newer.IsSuperseded() {
+			t.Fatal("the older process does not yield, or the newer one does")
+		}
+	})
+	t.Run("two that start raise their claims once", func(t *testing.T) {
+		a, b := tableAt(10, messages.MemberStateStarting), tableAt(20, messages.MemberStateStarting)
+		tellEachOther(a, b)
+		if a.IsSuperseded() == b.IsSuperseded() {
+			t.Fatalf("both are superseded, or none: %v", a.IsSuperseded())
+		}
+	})
 	t.Run("a later process whose clock is behind", func(t *testing.T) {
 		c := newFleet(t, 2, 4)
 		old := c.nodes[2]
@@ -193,6 +248,27 @@
 	})
 }
 
+func TestLostZone(t *testing.T) {
+	c := newFleet(t, 2, 3)
+	ended, kept := c.nodes[3], c.nodes[4]
+	c.setState(ended, messages.MemberStateLeaving)
+	c.runUntil(stateLimit, c.isAgreed)
+	for _, n := range c.nodes[3:] {
+		n.isDead = true
+	}
+	c.run(time.Minute)
+	assertState(t, c.nodes[0], ended.self.Id, messages.MemberStateLeaving)
+	t.Run("who was leaving it has failed after ten minutes", func(t *testing.T) {
+		c.run(10 * time.Minute)
+		assertState(t, c.nodes[0], ended.self.Id, messages.MemberStateFailed)
+		assertState(t, c.nodes[0], kept.self.Id, messages.MemberStateReady)
+	})
+	t.Run("everyone has failed after a day", func(t *testing.T) {
+		c.runInSteps(24*time.Hour, 4*step)
+		assertState(t, c.nodes[0], kept.self.Id, messages.MemberStateFailed)
+	})
+}
+
 func TestRepairAroundCut(t *testing.T) {
 	c := newFleet(t, 3, 4)
 	for _, a := range c.nodes[:4] {
@@ -299,6 +375,28 @@
 	}
 }
 
+// tableAt returns the table of a node at the one address of its tests.
+func tableAt(epoch uint64, state messages.MemberState) *member.Table {
+	self := memberAt(0)
+	self.Id = fmt.Sprintf("started-at-%d", epoch)
+	self.Epoch = epoch
+	self.State = state
+	return member.New(start, self, rand.New(rand.NewPCG(1, 1)))
+}
+
+// tellEachOther has two nodes hear of each other many times.
+func tellEachOther(a, b *member.Table) {
+	for range 20 {
+		ofA, ofB := a.Self(), b.Self()
+		if !a.IsSuperseded() {
+			b.Serve(start, member.Probe{From: "other", Members: []messages.Member{ofA}})
+		}
+		if !b.IsSuperseded() {
+			a.Serve(start, member.Probe{From: "other", Members: []messages.Member{ofB}})
+		}
+	}
+}
+
 func bigTable(n int) *member.Table {
 	table := member.New(start, memberAt(0), rand.New(rand.NewPCG(1, 1)))
 	var members []messages.Member
