--- a/core/admission/flood_test.go
+++ b/core/admission/flood_test.go
@@ -353,9 +353,10 @@
 func BenchmarkEarnings(b *testing.B) {
 	for b.Loop() {
 		for _, f := range []earningsFlood{
-			{"bulk, 1 customer", priority.Bulk, 1},
-			{"urgent, 1 customer", priority.Urgent, 1},
-			{"urgent, 100 customers", priority.Urgent, 100},
+			{"bulk, 1 customer", withFlood(priority.Bulk, 1)},
+			{"urgent, 1 customer", withFlood(priority.Urgent, 1)},
+			{"urgent, 100 customers", withFlood(priority.Urgent, 100)},
+			{"all double their calls", doubled()},
 		} {
 			for _, deadline := range []time.Duration{simDeadline, simTightDeadline} {
 				printEarnings(b, f, deadline)
@@ -365,9 +366,17 @@
 }
 
 type earningsFlood struct {
-	name      string
-	priority  priority.Priority
-	customers int
+	name    string
+	sources []source
+}
+
+// doubled is work of 60% of the capacity that becomes 120% of it.
+func doubled() []source {
+	sources := ordinary()
+	for i := range sources {
+		sources[i].flood *= 2
+	}
+	return sources
 }
 
 func printEarnings(b *testing.B, f earningsFlood, deadline time.Duration) {
@@ -384,7 +393,7 @@
 		{"first come, first served", &firstCome{}},
 	}
 	for _, p := range policies {
-		res := simulate(p.policy, true, deadline, withFlood(f.priority, f.customers))
+		res := simulate(p.policy, true, deadline, f.sources)
 		b.Logf("| %s | %s | %s | %.3f | %s | %.3f | %.3f | %.3f | %.3f | %.3f |", f.name, deadline, p.name,
 			res.flood[0].share(), res.flood[0].p99().Round(100*time.Microsecond),
 			res.flood[1].share(), res.flood[2].share(), res.flood[3].share(), res.used, res.useful)
