admission: usual rates are forgotten slowly during an overload too

Cause: during an overload a call counted for a fiftieth in its customer's usual rate, but old calls faded at full speed. After some minutes of flood the customers outside it lost their usual rates, and in a young node the average stood for ever more time.

Change: time passes fifty times more slowly for the averages during an overload.

--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -109,6 +109,19 @@
 			t.Errorf("%d calls are excess, want most of %d", got, 10*rate)
 		}
 	})
+	t.Run("others keep theirs in a long flood", func(t *testing.T) {
+		u := &usage{}
+		offer(u, false)
+		for minute := range 60 {
+			excessCalls := 0
+			for range 6 {
+				excessCalls += offer(u, true)
+			}
+			if excessCalls > 0 {
+				t.Fatalf("%d calls of minute %d are excess, want none", excessCalls, minute)
+			}
+		}
+	})
 	t.Run("a refusal is a sign of overload for a while", func(t *testing.T) {
 		q := New(1)
 		q.refuse(simStart, RuleDeadlineUnreachable)
--- a/core/admission/usage.go
+++ b/core/admission/usage.go
@@ -12,8 +12,9 @@
 	// averaged, and usageStart the least time that an average stands for.
 	usageMemory = 5 * time.Minute
 	usageStart  = 10 * time.Second
-	// overloadWeight is the weight in the usual rate of a call that comes during
-	// an overload, so that a flood does not soon count as usual.
+	// overloadWeight is the speed at which usual rates are learned and forgotten
+	// during an overload, so that a flood does not soon count as usual and the
+	// others keep theirs.
 	overloadWeight = 0.02
 	// usualMargin is how far a customer may exceed its usual rate.
 	usualMargin = 1.5
@@ -26,7 +27,10 @@
 
 // usage knows the usual rate of each customer and priority.
 type usage struct {
-	started      time.Time
+	at time.Time
+	// learned is the time in seconds over which rates were learned. It passes
+	// slowly during an overload.
+	learned      float64
 	newer, older map[customerKey]*customerUsage
 }
 
@@ -36,27 +40,29 @@
 }
 
 type customerUsage struct {
-	// calls fades with usageMemory.
-	calls  float64
-	tokens float64
-	at     time.Time
+	// calls fades with usageMemory, in learned time.
+	calls   float64
+	learned float64
+	tokens  float64
+	at      time.Time
 }
 
 // offer counts a call and says whether it is within the usual rate.
 func (u *usage) offer(now time.Time, customer string, p priority.Priority, overload bool) band {
-	if u.started.IsZero() {
-		u.started = now
-	}
-	c := u.get(now, customerKey{customer: customer, priority: p})
-	passed := now.Sub(c.at).Seconds()
-	c.at = now
-	c.calls *= math.Exp(-passed / usageMemory.Seconds())
-	rate := usualMargin*c.calls/u.span(now) + leastRate
-	c.tokens = min(c.tokens+rate*passed, rate*usualBurst)
 	weight := 1.0
 	if overload {
 		weight = overloadWeight
 	}
+	if !u.at.IsZero() {
+		u.learned += weight * now.Sub(u.at).Seconds()
+	}
+	u.at = now
+	c := u.get(now, customerKey{customer: customer, priority: p})
+	c.calls *= math.Exp((c.learned - u.learned) / usageMemory.Seconds())
+	c.learned = u.learned
+	rate := usualMargin*c.calls/u.span() + leastRate
+	c.tokens = min(c.tokens+rate*now.Sub(c.at).Seconds(), rate*usualBurst)
+	c.at = now
 	c.calls += weight
 	if c.tokens < 1 {
 		return excess
@@ -66,10 +72,9 @@
 }
 
 // span is the time in seconds that a faded count stands for.
-func (u *usage) span(now time.Time) float64 {
-	age := max(now.Sub(u.started), usageStart).Seconds()
+func (u *usage) span() float64 {
 	memory := usageMemory.Seconds()
-	return memory * (1 - math.Exp(-age/memory))
+	return memory * (1 - math.Exp(-max(u.learned, usageStart.Seconds())/memory))
 }
 
 // get returns the entry of a customer. The table has two halves: when the newer
@@ -81,7 +86,7 @@
 	}
 	c := u.older[key]
 	if c == nil {
-		c = &customerUsage{at: now, tokens: leastRate}
+		c = &customerUsage{at: now, learned: u.learned, tokens: leastRate}
 	}
 	if u.newer == nil || len(u.newer) >= maxCustomers/2 {
 		u.older, u.newer = u.newer, make(map[customerKey]*customerUsage)
