plans, follow: apply a change of few chunks in place of a whole build

Cause: a change of one customer among 100,000 built all tables anew.

The status of a zone names the operation of its version.

--- a/core/follow/head.go
+++ b/core/follow/head.go
@@ -154,15 +154,7 @@
 // take checks a version as a whole and holds it when it is valid.
 func (m *Machine) take(c *candidate) {
 	m.do(Announce{Head: c.Head, Base: m.held})
-	customers, planList, reasons := m.store.lists(c.Head.Head)
-	var version *plans.Version
-	if len(reasons) == 0 {
-		var faults []plans.Fault
-		version, faults = plans.Build(c.Version, customers, planList)
-		for _, f := range faults {
-			reasons = append(reasons, f.String())
-		}
-	}
+	version, reasons := m.build(c.Head)
 	if len(reasons) > 0 {
 		m.reject(Rejection{Number: c.Version, Hash: c.Hash, Reasons: shorten(reasons)})
 		m.dropUnused()
@@ -177,6 +169,28 @@
 	m.do(Apply{Head: c.Head, Version: version})
 }
 
+// build returns the version of a head whose chunks are all here, or why there is
+// none. A change of few chunks is applied to the version held, which gives the
+// same result in far less time.
+func (m *Machine) build(head Head) (*plans.Version, []string) {
+	if m.version != nil {
+		if change, ok := m.store.change(m.held.Head, head.Head); ok {
+			if version, ok := plans.Update(m.version, head.Version, change); ok {
+				return version, nil
+			}
+		}
+	}
+	customers, planList, reasons := m.store.lists(head.Head)
+	if len(reasons) > 0 {
+		return nil, reasons
+	}
+	version, faults := plans.Build(head.Version, customers, planList)
+	for _, f := range faults {
+		reasons = append(reasons, f.String())
+	}
+	return version, reasons
+}
+
 func (m *Machine) dropUnused() {
 	heads := []objects.Head{m.held.Head}
 	for _, c := range m.candidates {
--- a/core/follow/store.go
+++ b/core/follow/store.go
@@ -1,7 +1,10 @@
 package follow
 
 import (
+	"slices"
+
 	"lavenderdeal/core/chunk"
+	"lavenderdeal/core/plans"
 	"lavenderdeal/internal/border"
 	"lavenderdeal/schema/lists"
 	"lavenderdeal/schema/objects"
@@ -77,11 +80,55 @@
 	return s.shared
 }
 
+// change returns how the lists of two heads differ. It returns false when most
+// chunks differ, as after a change of their number, or when a chunk cannot be
+// decoded.
+func (s *store) change(from, to objects.Head) (plans.Change, bool) {
+	var change plans.Change
+	removed, added := differing(from.CustomerChunks, to.CustomerChunks), differing(to.CustomerChunks, from.CustomerChunks)
+	if 2*len(added) > len(to.CustomerChunks)+1 {
+		return change, false
+	}
+	for _, part := range []struct {
+		hashes    []string
+		customers *[]lists.Customer
+	}{{removed, &change.Removed}, {added, &change.Added}} {
+		for _, hash := range part.hashes {
+			list, err := s.chunks[hash].asCustomers()
+			if err != nil {
+				return change, false
+			}
+			*part.customers = append(*part.customers, list.Customers...)
+		}
+	}
+	if slices.Equal(from.PlanChunks, to.PlanChunks) {
+		return change, true
+	}
+	planList, reasons := s.planList(to)
+	change.Plans = &planList
+	return change, len(reasons) == 0
+}
+
+// differing returns the hashes of a that are not in b, as often as they are more
+// often in a.
+func differing(a, b []string) []string {
+	count := make(map[string]int, len(b))
+	for _, hash := range b {
+		count[hash]++
+	}
+	var more []string
+	for _, hash := range a {
+		if count[hash]--; count[hash] < 0 {
+			more = append(more, hash)
+		}
+	}
+	return more
+}
+
 // lists decodes the chunks of a head and joins them, or returns why that fails.
 func (s *store) lists(head objects.Head) (lists.CustomerList, lists.PlanList, []string) {
 	var customers lists.CustomerList
-	var planList lists.PlanList
-	var reasons []string
+	planList, reasons := s.planList(head)
 	for _, hash := range head.CustomerChunks {
 		part, err := s.chunks[hash].asCustomers()
 		if err != nil {
@@ -90,6 +137,12 @@
 		}
 		customers.Customers = append(customers.Customers, part.Customers...)
 	}
+	return customers, planList, reasons
+}
+
+func (s *store) planList(head objects.Head) (lists.PlanList, []string) {
+	var planList lists.PlanList
+	var reasons []string
 	for _, hash := range head.PlanChunks {
 		part, err := s.chunks[hash].asPlans()
 		if err != nil {
@@ -99,7 +152,7 @@
 		planList.Plans = append(planList.Plans, part.Plans...)
 		planList.Services = append(planList.Services, part.Services...)
 	}
-	return customers, planList, reasons
+	return planList, reasons
 }
 
 func (c *stored) asCustomers() (*lists.CustomerList, error) {
--- a/core/plans/build.go
+++ b/core/plans/build.go
@@ -2,9 +2,12 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lavenderdeal/core/priority"
 	"lavenderdeal/schema/lists"
 )
@@ -23,13 +26,12 @@
 func Build(number uint64, customers lists.CustomerList, plans lists.PlanList) (*Version, []Fault) {
 	b := builder{
 		version: &Version{
-			number:    number,
-			customers: make(map[[sha256.Size]byte]customer, len(customers.Customers)),
-			planOf:    make(map[string]string, len(customers.Customers)),
-			services:  make(map[string]lists.Service, len(plans.Services)),
-			plans:     make(map[string]map[string]use, len(plans.Plans)),
+			number:   number,
+			services: make(map[string]lists.Service, len(plans.Services)),
+			plans:    make(map[string]map[string]use, len(plans.Plans)),
 		},
 	}
+	b.byKey.table, b.byName.table = &b.version.customers, &b.version.planOf
 	b.addServices(plans.Services)
 	b.addPlans(plans.Plans)
 	b.addCustomers(customers.Customers)
@@ -41,6 +43,8 @@
 
 type builder struct {
 	version *Version
+	byKey   tableEditor[[sha256.Size]byte, customer]
+	byName  tableEditor[string, string]
 	faults  []Fault
 }
 
@@ -91,10 +95,10 @@
 
 func (b *builder) addCustomers(customers []lists.Customer) {
 	for i, c := range customers {
-		if _, ok := b.version.planOf[c.Name]; ok {
+		if _, ok := b.version.planOf.get(shardOfName(c.Name), c.Name); ok {
 			b.fault("customers", fmt.Sprintf("customers[%d].name", i), "customer %s is listed twice", c.Name)
 		}
-		b.version.planOf[c.Name] = c.Plan
+		b.byName.set(shardOfName(c.Name), c.Name, c.Plan)
 		if _, ok := b.version.plans[c.Plan]; !ok {
 			b.fault("customers", fmt.Sprintf("customers[%d].plan", i), "plan %s is not listed", c.Plan)
 		}
@@ -105,15 +109,28 @@
 }
 
 func (b *builder) addKey(c lists.Customer, text string, i, j int) {
-	var hash [sha256.Size]byte
-	if n, err := hex.Decode(hash[:], []byte(text)); err != nil || n != len(hash) {
+	hash, ok := parseKey(text)
+	if !ok {
 		b.fault("customers", fmt.Sprintf("customers[%d].keyHashes[%d]", i, j), "not a SHA-256 in hex")
 		return
 	}
-	if other, ok := b.version.customers[hash]; ok {
+	if other, ok := b.version.customers.get(shardOfKey(hash), hash); ok {
 		b.fault("customers", fmt.Sprintf("customers[%d].keyHashes[%d]", i, j), "customer %s has the same key", other.name)
 	}
-	b.version.customers[hash] = customer{name: c.Name, plan: c.Plan}
+	b.byKey.set(shardOfKey(hash), hash, customer{name: c.Name, plan: c.Plan})
+}
+
+// parseKey reads the hash of a key as it stands in the list.
+func parseKey(text string) (hash [sha256.Size]byte, ok bool) {
+	if len(text) != hex.EncodedLen(len(hash)) {
+		return hash, false
+	}
+	_, err := hex.Decode(hash[:], []byte(text))
+	return hash, err == nil
 }
 
+func shardOfKey(hash [sha256.Size]byte) uint64 { return binary.LittleEndian.Uint64(hash[:]) }
+
+func shardOfName(name string) uint64 { return xxhash.Sum64String(name) }
+
 func (f Fault) String() string { return f.List + ": " + f.Field + ": " + f.Message }
--- a/core/plans/plans.go
+++ b/core/plans/plans.go
@@ -33,8 +33,8 @@
 // Version is one version of the two lists, checked as a whole.
 type Version struct {
 	number    uint64
-	customers map[[sha256.Size]byte]customer
-	planOf    map[string]string
+	customers table[[sha256.Size]byte, customer]
+	planOf    table[string, string]
 	services  map[string]lists.Service
 	plans     map[string]map[string]use
 }
@@ -95,7 +95,7 @@
 
 // Sizes returns how many customers, plans and services the version has.
 func (v *Version) Sizes() (customers, plans, services int) {
-	return len(v.planOf), len(v.plans), len(v.services)
+	return v.planOf.n, len(v.plans), len(v.services)
 }
 
 // Service returns a service by its name.
@@ -106,7 +106,8 @@
 
 // Decide says whether the call may go on.
 func (v *Version) Decide(r Request) Decision {
-	who, ok := v.customers[sha256.Sum256([]byte(r.Key))]
+	hash := sha256.Sum256([]byte(r.Key))
+	who, ok := v.customers.get(shardOfKey(hash), hash)
 	if !ok {
 		return Refused{Rule: "customerUnknown", Detail: "no customer has this key"}
 	}
@@ -116,7 +117,7 @@
 // DecideFor says whether a call that is already known to be the customer's may
 // go on, under the plan that this version gives the customer.
 func (v *Version) DecideFor(name string, r Request) Decision {
-	plan, ok := v.planOf[name]
+	plan, ok := v.planOf.get(shardOfName(name), name)
 	if !ok {
 		return Refused{Rule: "customerUnknown", Detail: "customer " + name + " is not listed"}
 	}
--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lavenderdeal/core/confirm"
+	"lavenderdeal/internal/publish"
 	"lavenderdeal/io/peer"
 	"lavenderdeal/io/platform"
 	"lavenderdeal/schema/messages"
@@ -16,8 +17,6 @@
 )
 
 const (
-	// statusPrefix is where the statuses of the zones are, by zone.
-	statusPrefix  = "status/"
 	reportTimeout = 1 * time.Second
 	// reportPeriod is about how often a node repeats its report, in case that
 	// one was lost.
@@ -114,11 +113,14 @@
 	self := l.view.Self()
 	status := l.table.Status(self.Zone, l.view.Zone(self.Zone), l.machine.Newest())
 	status.Writer = self.Id
+	if held := l.machine.Held(); held.Version == status.Version {
+		status.Operation = held.Operation
+	}
 	return status, l.writer.Next(time.Now(), status)
 }
 
 func (l *Loop) readStatus(ctx context.Context, zone string) platform.Revision {
-	object, err := l.Platform.Get(ctx, statusPrefix+zone)
+	object, err := l.Platform.Get(ctx, publish.StatusPrefix+zone)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
@@ -143,7 +145,7 @@
 	if err != nil {
 		return after
 	}
-	revision, err := l.Platform.Put(ctx, statusPrefix+status.Zone, value, after)
+	revision, err := l.Platform.Put(ctx, publish.StatusPrefix+status.Zone, value, after)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -62,7 +62,10 @@
 }
 
 // start starts nodes that know the ones before them.
-func (f *fixture) start(zone string, n int) {
+func (f *fixture) start(zone string, n int) { f.startWith(zone, n, f.addr) }
+
+// startWith starts nodes that have the platform at an address.
+func (f *fixture) startWith(zone string, n int, platformAddr netip.AddrPort) {
 	f.t.Helper()
 	for range n {
 		server, err := httpserver.Start(loopback, backend.New(zone, 4))
@@ -74,7 +77,7 @@
 			Zone: zone, Region: "sicily", Service: "bookings",
 			Server:   settings.Server{Address: server.Addr(), Slots: 4, Connections: 10, HealthPath: "/health"},
 			Listen:   settings.Listen{Caller: loopback, Peer: loopback, Call: loopback, Operator: loopback},
-			Platform: settings.Platform{Address: f.addr, Timeout: units.Duration(time.Second)},
+			Platform: settings.Platform{Address: platformAddr, Timeout: units.Duration(time.Second)},
 			PeerKey:  "test-peer-key-0123456789",
 			Drain:    settings.Drain{Announce: units.Duration(time.Second), Finish: units.Duration(time.Second)},
 		}
@@ -152,6 +155,15 @@
 	})
 }
 
+// sum adds up a counter of all nodes.
+func (f *fixture) sum(counter string) int64 {
+	total := int64(0)
+	for _, n := range f.nodes {
+		total += n.Metrics().Counter(counter)
+	}
+	return total
+}
+
 func (f *fixture) status(zone string) objects.ZoneStatus {
 	var status objects.ZoneStatus
 	object, err := f.write.Objects.Get(f.t.Context(), "status/"+zone)
@@ -185,12 +197,20 @@
 			return readers == 4
 		})
 	})
+	t.Run("only readers fetch chunks from the platform", func(t *testing.T) {
+		f.t = t
+		before := f.sum("chunksFromPlatform")
+		f.waitVersion(f.publish("gold"), inForceWithin)
+		if got := f.sum("chunksFromPlatform") - before; got > 4 {
+			t.Errorf("%d chunks from the platform for a change of one, want at most one for each of 4 readers", got)
+		}
+	})
 	t.Run("each zone confirms the change", func(t *testing.T) {
 		f.t = t
 		f.waitFor(startWithin, "the statuses of both zones", func() bool {
 			for _, zone := range []string{"catania", "palermo"} {
 				s := f.status(zone)
-				if s.Version != 2 || s.Confirmed != 4 || s.Members != 4 || len(s.Missing) != 0 {
+				if s.Version != 3 || s.Confirmed != 4 || s.Members != 4 || len(s.Missing) != 0 {
 					return false
 				}
 			}
@@ -210,7 +230,34 @@
 			}
 			return false
 		})
-		f.waitVersion(3, inForceWithin)
+		f.waitVersion(4, inForceWithin)
+	})
+}
+
+func TestZoneWithoutPlatform(t *testing.T) {
+	f := newFixture(t)
+	f.publish("gold")
+	f.start("catania", 2)
+	nobody := netip.MustParseAddrPort("127.0.0.1:1")
+	f.startWith("palermo", 3, nobody)
+	f.waitVersion(1, startWithin)
+	f.waitMembers()
+	t.Run("the zone follows by readers of the other zone", func(t *testing.T) {
+		f.t = t
+		for _, plan := range []string{"silver", "gold", "silver"} {
+			f.waitVersion(f.publish(plan), inForceWithin)
+		}
+	})
+	t.Run("the loss is on record", func(t *testing.T) {
+		f.t = t
+		f.waitFor(startWithin, "platformLost on a reader", func() bool {
+			for _, n := range f.nodes[2:] {
+				if n.Metrics().Counter("platformErrors") > 0 && n.Metrics().Counter("becameReader") > 0 {
+					return true
+				}
+			}
+			return false
+		})
 	})
 }
 
