--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -77,16 +77,17 @@
 
 // Counts is the traffic of an endpoint since it started.
 type Counts struct {
-	BytesIn, BytesOut uint64
+	BytesIn  uint64 `json:"bytesIn"`
+	BytesOut uint64 `json:"bytesOut"`
 	// KeyRefused counts connections that did not prove the key.
-	KeyRefused uint64
+	KeyRefused uint64 `json:"keyRefused"`
 	// Malformed counts messages that could not be decoded or were too long.
-	Malformed uint64
+	Malformed uint64 `json:"malformed"`
 	// Refused counts connections above the bound.
-	Refused uint64
+	Refused uint64 `json:"refused"`
 	// ByMethod is the traffic of questions and answers by method, with their
 	// frames. The handshakes stand under [MethodHandshake].
-	ByMethod map[string]MethodCounts
+	ByMethod map[string]MethodCounts `json:"byMethod"`
 }
 
 // MethodHandshake is the name under which the handshakes are counted.
@@ -94,9 +95,10 @@
 
 // MethodCounts is the traffic of one method.
 type MethodCounts struct {
-	BytesIn, BytesOut uint64
+	BytesIn  uint64 `json:"bytesIn"`
+	BytesOut uint64 `json:"bytesOut"`
 	// Messages counts questions and answers in both directions.
-	Messages uint64
+	Messages uint64 `json:"messages"`
 }
 
 // Endpoint is one node's side of the control traffic. It is safe for use by
