--- a/core/member/member.go
+++ b/core/member/member.go
@@ -95,6 +95,9 @@
 	maxNews          = 64
 	maxRecords       = 20000
 	maxName          = 64
+	// maxCounter bounds incarnations and epochs, so that raising one never wraps.
+	maxCounter = 1 << 62
+
 	maxCutOff        = 256
 	retryFailedAfter = 5 * time.Second
 	seedPeriod       = 10 * time.Second
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -389,13 +390,15 @@
 		func(m *messages.Member) { m.Health = 9 },
 		func(m *messages.Member) { m.Peer = netip.AddrPort{} },
 		func(m *messages.Member) { m.Slots = -1 },
+		func(m *messages.Member) { m.Incarnation = math.MaxUint64 },
+		func(m *messages.Member) { m.Epoch = math.MaxUint64 },
 	} {
 		bad := good
 		spoil(&bad)
 		table.Serve(start, member.Probe{From: "other", Members: []messages.Member{bad}})
 	}
-	if table.Digest() != before || table.Malformed() != 7 {
-		t.Fatalf("%d of 7 malformed records were refused", table.Malformed())
+	if table.Digest() != before || table.Malformed() != 9 {
+		t.Fatalf("%d of 9 malformed records were refused", table.Malformed())
 	}
 }
 
--- a/core/member/merge.go
+++ b/core/member/merge.go
@@ -255,7 +255,7 @@
 func isWellFormed(m messages.Member) bool {
 	return isName(m.Id) && isName(m.Zone) && len(m.Region) <= maxName && len(m.Service) <= maxName &&
 		m.Peer.IsValid() && m.Call.IsValid() && rank(m.State) > 0 && m.Health <= Failed &&
-		m.Slots >= 0 && len(m.CutOff) <= maxCutOff
+		m.Slots >= 0 && len(m.CutOff) <= maxCutOff && m.Incarnation <= maxCounter && m.Epoch <= maxCounter
 }
 
 func isName(name string) bool { return name != "" && len(name) <= maxName }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"go.uber.org/goleak"
 	"golang.org/x/sync/errgroup"
 
 	"lavenderdeal/core/explain"
@@ -35,6 +36,15 @@
 	findLimit = 30 * time.Second
 )
 
+// TestMain finds goroutines that outlive their nodes. Those that go-zero starts
+// when it is loaded stay as long as the process.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreTopFunction("github.com/zeromicro/go-zero/core/proc.init.1.func1"),
+		goleak.IgnoreTopFunction("github.com/zeromicro/go-zero/core/stat.init.1.func1"),
+	)
+}
+
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
 // bench is a platform and the nodes that use it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,6 +188,7 @@
 		return err
 	}
 	n.members.Endpoint, n.follower.Endpoint = n.endpoint, n.endpoint
+	n.metrics.Func("controlTraffic", func() any { return n.endpoint.Counts() })
 	n.homes.Endpoint, n.watch.Endpoint = n.endpoint, n.endpoint
 	return nil
 }
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -58,6 +59,12 @@
 		assertCountsAddUp(t, client)
 		assertCountsAddUp(t, server)
 	})
+	t.Run("counts are published in camel case", func(t *testing.T) {
+		text, err := json.Marshal(client.Counts())
+		if err != nil || !strings.Contains(string(text), `"keyRefused":0`) {
+			t.Fatalf("%s, %v", text, err)
+		}
+	})
 	t.Run("unknown method", func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), limit)
 		defer cancel()
