--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -49,10 +49,11 @@
 
 // bench is a platform and the nodes that use it.
 type bench struct {
-	t     *testing.T
-	store *objectapi.Store
-	addr  netip.AddrPort
-	nodes []*node
+	t      *testing.T
+	store  *objectapi.Store
+	addr   netip.AddrPort
+	nodes  []*node
+	jitter time.Duration
 }
 
 type node struct {
@@ -87,7 +88,7 @@
 	n := &node{ring: explain.NewRing(64), client: platform.New(b.addr)}
 	n.loop = &membership.Loop{
 		Plans: new(inforce.Plans), View: &n.view, Platform: n.client, Ring: n.ring, Metrics: metrics.New(),
-		Log: &log.Logger{Handler: discard.New()}, Seeds: seeds, StartJitter: 100 * time.Millisecond,
+		Log: &log.Logger{Handler: discard.New()}, Seeds: seeds, StartJitter: max(b.jitter, 100*time.Millisecond),
 	}
 	var mux peer.Mux
 	n.loop.Handle(&mux)
@@ -177,6 +178,30 @@
 	})
 }
 
+// TestHerd starts all nodes at once, without seeds. The bounds are the
+// platform's rates in the minute after 3,800 nodes start, as a share for each.
+func TestHerd(t *testing.T) {
+	const (
+		perZone       = 20
+		fleetSize     = 3800
+		readsAMinute  = 2000 * 60
+		writesAMinute = 300 * 60
+	)
+	b := newBench(t)
+	b.jitter = 2 * time.Second
+	for _, zone := range []string{"catania", "palermo", "agrigento"} {
+		for range perZone {
+			b.start(zone)
+		}
+	}
+	b.waitAll(findLimit, b.nodes, messages.MemberStateStarting, 3*perZone)
+	counts := b.store.Counts()
+	t.Logf("%d nodes: %d reads, %d writes", len(b.nodes), counts.Reads, counts.Writes)
+	if n := uint64(len(b.nodes)); counts.Reads > n*readsAMinute/fleetSize || counts.Writes > n*writesAMinute/fleetSize {
+		t.Fatalf("%d reads and %d writes by %d nodes", counts.Reads, counts.Writes, n)
+	}
+}
+
 func TestFindBySeeds(t *testing.T) {
 	b := newBench(t)
 	b.store.SetFaults(objectapi.Faults{Down: true})
