admission: turns count by the time of a call

Cause: customers took turns call by call, so one with calls ten times as long had ten times the slots' time; a customer that left the queue came back without its turn, and a call that was pushed out cost its customer a turn.

Change: a turn counts by the customer's mean time of a call against the priority's, up to 16 times; turns are kept; only a call that gets a slot costs. The load of the own server is in /metrics as serverLoad.

Two customers that each ask for three times the capacity, one with calls ten times as long: each has 40% to 60% of the slots' time (TestLongCalls).

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -56,6 +56,8 @@
 	// come evenly.
 	floorBurst = 1 * time.Second
 
+	// highestCost bounds how much more than an average call one call may count.
+	highestCost = 16.0
 	// overloadMemory is how long a refusal counts as a sign of overload.
 	overloadMemory = 1 * time.Second
 
@@ -122,6 +124,7 @@
 // runningCall is a call that has a slot.
 type runningCall struct {
 	priority priority.Priority
+	user     *customerUsage
 	started  time.Time
 	// byFloor says that the call started by its priority's floor. Its cost was
 	// taken from the credit, and is corrected when the call ends.
@@ -154,9 +157,9 @@
 		return Refused{Rule: RuleDeadlinePassed}
 	}
 	q.accrue(now)
-	b := q.usage.offer(now, c.Customer, c.Priority, q.isOverloaded(now))
+	user, b := q.usage.offer(now, c.Customer, c.Priority, q.isOverloaded(now))
 	if len(q.running) < q.estimate.Limit() && len(q.waiting) == 0 {
-		q.start(now, c.ID, runningCall{priority: c.Priority})
+		q.start(now, c.ID, runningCall{priority: c.Priority, user: user})
 		return Started{}
 	}
 	if q.expectedEnd(now, c, b).After(c.Deadline) {
@@ -165,7 +168,7 @@
 	if len(q.waiting) >= q.capacity() && !q.makeRoom(now, c, b) {
 		return q.refuse(now, RuleQueueFull)
 	}
-	w := q.newWaiter(c, b)
+	w := q.newWaiter(c, b, user)
 	q.waiting[c.ID] = w
 	q.classes[c.Priority].lines[b].push(w)
 	return Queued{}
@@ -181,6 +184,7 @@
 	took := now.Sub(call.started)
 	class := &q.classes[call.priority]
 	class.service.observe(took)
+	call.user.service.observe(took)
 	if call.byFloor {
 		class.credit = max(class.credit+call.cost-took, -q.burst(call.priority))
 	}
@@ -225,20 +229,22 @@
 		if w == nil {
 			return
 		}
-		call := w.call
-		q.remove(w)
+		call, user := w.call, w.user
 		class := &q.classes[call.Priority]
 		if now.Add(class.service.least()).After(call.Deadline) {
+			q.remove(w)
 			q.decide(call.ID, q.refuse(now, RuleDeadlineUnreachable))
 			continue
 		}
+		class.lines[w.band].serve(w, class.costOf(user))
+		q.forget(w)
 		cost := class.service.mean()
 		if byFloor {
 			class.credit -= cost
 		} else {
 			class.credit = max(class.credit-cost, min(class.credit, 0))
 		}
-		q.start(now, call.ID, runningCall{priority: call.Priority, byFloor: byFloor, cost: cost})
+		q.start(now, call.ID, runningCall{priority: call.Priority, user: user, byFloor: byFloor, cost: cost})
 		q.decide(call.ID, Started{})
 	}
 }
@@ -411,21 +417,36 @@
 }
 
 func (q *Queue) remove(w *waiter) {
-	delete(q.waiting, w.call.ID)
 	q.classes[w.call.Priority].lines[w.band].remove(w)
-	w.call.Customer = ""
+	q.forget(w)
+}
+
+// forget ends the waiting of a call that left its line.
+func (q *Queue) forget(w *waiter) {
+	delete(q.waiting, w.call.ID)
+	w.call.Customer, w.user = "", nil
 	w.next = q.free
 	q.free = w
 }
 
-func (q *Queue) newWaiter(c Call, b band) *waiter {
+// costOf returns the time that a customer's calls take, against the mean of the
+// priority.
+func (c *class) costOf(user *customerUsage) float64 {
+	if user.service.mean() == 0 || c.service.mean() == 0 {
+		return 1
+	}
+	cost := float64(user.service.mean()) / float64(c.service.mean())
+	return min(max(cost, 1/highestCost), highestCost)
+}
+
+func (q *Queue) newWaiter(c Call, b band, user *customerUsage) *waiter {
 	w := q.free
 	if w == nil {
 		w = &waiter{}
 	} else {
 		q.free = w.next
 	}
-	*w = waiter{call: c, band: b}
+	*w = waiter{call: c, band: b, user: user}
 	return w
 }
 
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -89,7 +89,7 @@
 	offer := func(u *usage, overload bool) (excessCalls int) {
 		for range 10 * rate {
 			now = now.Add(time.Second / rate)
-			if u.offer(now, "a", priority.Urgent, overload) == excess {
+			if _, b := u.offer(now, "a", priority.Urgent, overload); b == excess {
 				excessCalls++
 			}
 		}
--- a/core/admission/flood_test.go
+++ b/core/admission/flood_test.go
@@ -31,6 +31,8 @@
 	// quiet and flood are shares of the server's capacity, for all customers of
 	// the source together.
 	quiet, flood float64
+	// length is the time of a call, 1 for simWork. Zero is 1.
+	length float64
 }
 
 type simEvent struct {
@@ -140,6 +142,9 @@
 			if exponential {
 				work = time.Duration(r.ExpFloat64() * float64(simWork))
 			}
+			if s.length > 0 {
+				work = time.Duration(s.length * float64(work))
+			}
 			calls[id] = simCall{source: e.source, arrived: now, work: work}
 			phase := res.phase(now, floodAt)
 			phase[e.source].sent++
@@ -328,6 +333,20 @@
 	})
 }
 
+// TestLongCalls has two customers that ask for three times the capacity each, one
+// with calls ten times as long: each gets about half of the slots' time.
+func TestLongCalls(t *testing.T) {
+	sources := []source{
+		{name: "short", priority: priority.Normal, quiet: 0.02, flood: 3},
+		{name: "long", priority: priority.Normal, quiet: 0.002, flood: 0.3, length: 10},
+	}
+	res := simulate(&queuePolicy{Queue: New(simSlots)}, false, 10*simDeadline, sources)
+	share := res.busy[1] / (res.busy[0] + res.busy[1])
+	if share < 0.4 || share > 0.6 {
+		t.Errorf("the long calls had %.2f of the slots' time, want about half", share)
+	}
+}
+
 // TestFloorAtItsDemand floods priorities whose calls ask for just their floors,
 // by chance sometimes more and sometimes less.
 func TestFloorAtItsDemand(t *testing.T) {
--- a/core/admission/line.go
+++ b/core/admission/line.go
@@ -13,6 +13,7 @@
 type waiter struct {
 	call       Call
 	band       band
+	user       *customerUsage
 	flow       *flow
 	prev, next *waiter
 }
@@ -27,8 +28,8 @@
 	index int
 }
 
-// line serves its customers in turns, one call each. It keeps a heap of the
-// customers that wait, by turn.
+// line serves its customers in turns, so that each has the same time of the
+// slots. It keeps a heap of the customers that wait, by turn.
 type line struct {
 	flows  map[string]*flow
 	heap   []*flow
@@ -42,7 +43,7 @@
 func (l *line) push(w *waiter) {
 	f := l.flows[w.call.Customer]
 	if f == nil {
-		f = l.newFlow(w.call.Customer)
+		f = l.newFlow(w)
 	}
 	w.flow, w.prev, w.next = f, f.tail, nil
 	if f.tail == nil {
@@ -90,11 +91,19 @@
 	return min(l.queued, (l.length(customer)+1)*len(l.heap))
 }
 
-// remove takes a call out of the line. When it was the customer's first, the
-// customer's turn passes.
+// serve takes a call out of the line that gets a slot. It was its customer's
+// first, whose next turn comes later by the cost, which is 1 for an average call.
+func (l *line) serve(w *waiter, cost float64) {
+	f := w.flow
+	l.virtual = max(l.virtual, f.turn)
+	f.turn += cost
+	l.down(f.index)
+	l.remove(w)
+}
+
+// remove takes a call out of the line.
 func (l *line) remove(w *waiter) {
 	f := w.flow
-	wasHead := f.head == w
 	if w.prev == nil {
 		f.head = w.next
 	} else {
@@ -108,19 +117,13 @@
 	f.length--
 	l.queued--
 	w.flow, w.prev, w.next = nil, nil, nil
-	if !wasHead {
-		return
-	}
-	l.virtual = max(l.virtual, f.turn)
-	f.turn++
 	if f.length == 0 {
+		w.user.turns[w.band] = f.turn
 		l.drop(f)
-		return
 	}
-	l.down(f.index)
 }
 
-func (l *line) newFlow(customer string) *flow {
+func (l *line) newFlow(w *waiter) *flow {
 	if l.flows == nil {
 		l.flows = make(map[string]*flow)
 	}
@@ -131,8 +134,9 @@
 	} else {
 		f = &flow{}
 	}
-	*f = flow{customer: customer, turn: l.virtual + 1, index: len(l.heap)}
-	l.flows[customer] = f
+	turn := max(l.virtual, w.user.turns[w.band])
+	*f = flow{customer: w.call.Customer, turn: turn, index: len(l.heap)}
+	l.flows[f.customer] = f
 	l.heap = append(l.heap, f)
 	l.up(f.index)
 	return f
--- a/core/admission/usage.go
+++ b/core/admission/usage.go
@@ -45,10 +45,15 @@
 	learned float64
 	tokens  float64
 	at      time.Time
+	// service is the time that the customer's calls take.
+	service serviceTime
+	// turns are the turns that the customer had in each line when its last call
+	// there left.
+	turns [bandCount]float64
 }
 
 // offer counts a call and says whether it is within the usual rate.
-func (u *usage) offer(now time.Time, customer string, p priority.Priority, overload bool) band {
+func (u *usage) offer(now time.Time, customer string, p priority.Priority, overload bool) (*customerUsage, band) {
 	weight := 1.0
 	if overload {
 		weight = overloadWeight
@@ -65,10 +70,10 @@
 	c.at = now
 	c.calls += weight
 	if c.tokens < 1 {
-		return excess
+		return c, excess
 	}
 	c.tokens--
-	return usual
+	return c, usual
 }
 
 // span is the time in seconds that a faded count stands for.
--- a/internal/calls/runner.go
+++ b/internal/calls/runner.go
@@ -80,6 +80,7 @@
 		queue:   admission.New(slots),
 		waiting: make(map[uint64]chan admission.Outcome),
 	}
+	m.Func("serverLoad", func() any { return r.Load() })
 	for _, opt := range opts {
 		opt(r)
 	}
