slots: an increase must bring more calls a second

Cause: the limit settled one or two above the true slots, where latency is within a few percent.

Change: an increase above the declared number is taken back when the calls a second rose by less than half of it, and is then held for 30 s and more, as a reduction that does not help already was.

--- a/core/slots/slots.go
+++ b/core/slots/slots.go
@@ -37,14 +37,15 @@
 	lowestDivisor  = 4
 	growthDivisor  = 16
 	shrinkDivisor  = 8
-	growBelow      = 1.04
+	growBelow      = 1.02
 	returnBelow    = 1.30
-	shrinkAbove    = 1.08
+	shrinkAbove    = 1.04
 	shrinkDeclared = 1.60
 	// A reduction is taken back when the calls per second fell by more than this
-	// part of it. The next one then waits for shortestHold, and twice as long
-	// each further time.
-	lossShare    = 0.5
+	// part of it, an increase above the declared number when they rose by less.
+	// The next one then waits for shortestHold, and twice as long each further
+	// time.
+	helpShare    = 0.5
 	shortestHold = 30 * time.Second
 	longestHold  = 8 * time.Minute
 	// saturatedShare is the share of calls of a window that found all slots in
@@ -64,16 +65,35 @@
 	saturated int
 	shed      bool
 
-	reduced   reduction
-	hold      time.Duration
-	heldUntil time.Time
+	reduced, increased attempt
 }
 
-// reduction is the state before a reduction that is not yet confirmed.
-type reduction struct {
+// attempt is a change of the limit in one direction.
+type attempt struct {
+	// pending says that the change is not yet confirmed, and limit and rate are
+	// from before it.
 	pending bool
 	limit   int
 	rate    float64
+	hold    time.Duration
+	until   time.Time
+}
+
+// begin notes the state before the change.
+func (a *attempt) begin(limit int, rate float64) { a.pending, a.limit, a.rate = true, limit, rate }
+
+// takeBack ends a change that did not help and returns the limit before it.
+func (a *attempt) takeBack(now time.Time) int {
+	a.pending = false
+	a.hold = min(max(2*a.hold, shortestHold), longestHold)
+	a.until = now.Add(a.hold)
+	return a.limit
+}
+
+// hasHelped says whether the calls per second went with the limit.
+func (a *attempt) hasHelped(limit int, rate float64) bool {
+	part := float64(limit)/float64(a.limit) - 1
+	return rate >= a.rate*(1+helpShare*part)
 }
 
 // window holds one priority's part of the running window and its baseline.
@@ -121,41 +141,44 @@
 	ratio := e.ratio(now)
 	rate := float64(e.calls) / now.Sub(e.started).Seconds()
 	saturated := float64(e.saturated) >= saturatedShare*float64(e.calls)
+	reduced, increased := e.reduced.pending, e.increased.pending
+	if saturated {
+		e.reduced.pending, e.increased.pending = false, false
+	}
 	switch {
 	case e.shed:
 		e.limit -= e.step()
 	case !saturated:
-	case e.isLoss(rate):
-		e.limit = e.reduced.limit
-		e.hold = min(max(2*e.hold, shortestHold), longestHold)
-		e.heldUntil = now.Add(e.hold)
-		e.reduced.pending = false
-	case ratio > e.shrinkThreshold() && !now.Before(e.heldUntil):
-		e.reduced = reduction{pending: true, limit: e.limit, rate: rate}
-		e.limit -= e.step()
+	case reduced && !e.reduced.hasHelped(e.limit, rate):
+		e.limit = e.reduced.takeBack(now)
+	case increased && !e.increased.hasHelped(e.limit, rate):
+		e.limit = e.increased.takeBack(now)
+	case ratio > e.shrinkThreshold():
+		if !now.Before(e.reduced.until) {
+			e.reduced.begin(e.limit, rate)
+			e.limit -= e.step()
+		}
 	case ratio < e.growThreshold():
-		e.limit += max(e.limit/growthDivisor, 1)
-	}
-	if e.limit >= before {
-		e.reduced.pending = false
+		e.grow(now, rate)
 	}
 	e.limit = min(max(e.limit, e.declared/lowestDivisor, 1), e.declared*highestFactor)
 	e.started, e.calls, e.saturated, e.shed = now, 0, 0, false
 	return e.limit != before
 }
 
-func (e *Estimate) step() int { return max(e.limit/shrinkDivisor, 1) }
-
-// isLoss says whether the last reduction has cost calls per second, at the rate
-// of the window since.
-func (e *Estimate) isLoss(rate float64) bool {
-	if !e.reduced.pending {
-		return false
+// grow gives back slots, or more than were declared as long as that helps.
+func (e *Estimate) grow(now time.Time, rate float64) {
+	if e.limit >= e.declared {
+		if now.Before(e.increased.until) {
+			return
+		}
+		e.increased.begin(e.limit, rate)
 	}
-	part := 1 - float64(e.limit)/float64(e.reduced.limit)
-	return rate < e.reduced.rate*(1-lossShare*part)
+	e.limit += max(e.limit/growthDivisor, 1)
 }
 
+func (e *Estimate) step() int { return max(e.limit/shrinkDivisor, 1) }
+
 func (e *Estimate) shrinkThreshold() float64 {
 	if e.limit > e.declared {
 		return shrinkAbove
--- a/core/slots/slots_test.go
+++ b/core/slots/slots_test.go
@@ -47,6 +47,18 @@
 			t.Errorf("limit %d, want %d to %d", got, declared, declared*5/4)
 		}
 	})
+	t.Run("slots that do not help are taken back", func(t *testing.T) {
+		e := New(declared)
+		now := run(e, begin, server{slots: declared, work: work}, priority.Urgent, 2, 2_000)
+		sum, n := 0, 1_000
+		for range n {
+			now = run(e, now, server{slots: declared, work: work}, priority.Urgent, 0, 200)
+			sum += e.Limit()
+		}
+		if mean := float64(sum) / float64(n); mean > 1.01*declared {
+			t.Errorf("mean limit %.2f, want at most 1%% above %d", mean, declared)
+		}
+	})
 	t.Run("true slots twice as many", func(t *testing.T) {
 		if got := limitAfter(server{slots: 2 * declared, work: work}); got < 2*declared*95/100 {
 			t.Errorf("limit %d, want %d", got, 2*declared)
