httpclient: an answer that came before its request reaches nobody

Cause: a server that sends two answers to one request gave the second to the next caller, when the transport took the connection before it looked at it. Seen in TestBrokenAnswers with the tests of the package in parallel.

Change: the connection counts its reads; an answer without a read since the request's first write is refused as mayHaveRun and its connection closed.

--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -85,6 +85,11 @@
 	if err != nil {
 		return nil, &SendError{Sent: trace.isSent(), cause: err}
 	}
+	if trace.isCrossed() {
+		trace.closeConn()
+		answer.Body.Close()
+		return nil, &SendError{Sent: true, cause: errCrossed}
+	}
 	return answer, nil
 }
 
--- a/internal/httpclient/sent.go
+++ b/internal/httpclient/sent.go
@@ -18,6 +18,9 @@
 	cause error
 }
 
+// errCrossed is the cause when an answer had come before its request was sent.
+var errCrossed = errors.New("the answer came before the request was sent")
+
 // Sent says whether a byte of the request may have left, given the error of
 // [Client.Do].
 func Sent(err error) bool {
@@ -54,7 +57,17 @@
 		return
 	}
 	t.conn = conn
-	t.before = conn.count()
+	t.before = conn.begin()
+}
+
+// isCrossed says whether the answer had come before the request was sent, so
+// that it belongs to nobody: the server sent more than one answer to an earlier
+// request. The transport usually sees that by itself, but not when it has taken
+// the connection for the next request by then.
+func (t *sendTrace) isCrossed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn != nil && t.conn.readNothing()
 }
 
 // isSent says whether a byte may have left. When it says no, it also makes sure
@@ -66,6 +79,15 @@
 	return t.sent
 }
 
+// closeConn makes sure that no other request takes the connection.
+func (t *sendTrace) closeConn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		_ = t.conn.Close()
+	}
+}
+
 func (t *sendTrace) leaveLocked() {
 	if t.conn != nil && !t.conn.seal(t.before) {
 		t.sent = true
@@ -73,14 +95,19 @@
 	t.conn = nil
 }
 
-// countedConn counts the writes to a connection. Lock order: mu is the only
-// lock.
+// countedConn counts the writes to a connection and the reads from it. Lock
+// order: mu is the only lock.
 type countedConn struct {
 	net.Conn
 
 	mu     sync.Mutex
 	writes uint64
-	sealed bool
+	reads  uint64
+	// first is the number of writes when the newest request took the connection,
+	// and readsThen the number of reads when it wrote first.
+	first     uint64
+	readsThen uint64
+	sealed    bool
 }
 
 func (c *countedConn) Write(p []byte) (int, error) {
@@ -89,15 +116,39 @@
 		c.mu.Unlock()
 		return 0, net.ErrClosed
 	}
+	if c.writes == c.first {
+		c.readsThen = c.reads
+	}
 	c.writes++
 	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
 
-func (c *countedConn) count() uint64 {
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		c.reads++
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// begin is called when a request takes the connection. It returns the number of
+// writes before.
+func (c *countedConn) begin() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.first = c.writes
+	c.readsThen = c.reads
+	return c.first
+}
+
+// readNothing says whether nothing was read since the newest request wrote first.
+func (c *countedConn) readNothing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.writes
+	return c.reads == c.readsThen
 }
 
 // seal forbids all further writes, unless there was one since the count. It
--- a/internal/node/answers_test.go
+++ b/internal/node/answers_test.go
@@ -136,6 +136,7 @@
 const rawHead = " HTTP/1.1\r\nHost: bookings\r\nAuthorization: Bearer crew-key\r\nConnection: close\r\n"
 
 func TestBrokenAnswers(t *testing.T) {
+	t.Parallel()
 	server := startRaw(t)
 	near, far := startRawFleet(t, server.addr())
 	client := newClient(t)
@@ -178,6 +179,7 @@
 }
 
 func TestWholeAnswers(t *testing.T) {
+	t.Parallel()
 	server := startRaw(t)
 	near, far := startRawFleet(t, server.addr())
 	client := newClient(t)
@@ -268,6 +270,7 @@
 // different places. None may look whole to the backend server: the bodies of
 // those with malformed chunks begin to stream and break off there.
 func TestAmbiguousRequests(t *testing.T) {
+	t.Parallel()
 	server := startRaw(t)
 	server.setAnswer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false)
 	near, far := startRawFleet(t, server.addr())
@@ -335,6 +338,7 @@
 // TestTransportSendsOnce brings about what net/http's transport would answer by
 // sending the request again: a reused connection that breaks.
 func TestTransportSendsOnce(t *testing.T) {
+	t.Parallel()
 	server := startRaw(t)
 	near, _ := startRawFleet(t, server.addr())
 	client := newClient(t)
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -12,6 +12,7 @@
 // TestStopUnderLoad stops a node while calls with and without keys run through
 // it, to it and beside it. None may be cut off or refused.
 func TestStopUnderLoad(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3)
 	client := newClient(t)
 	stopped := f.nodes[0]
@@ -63,6 +64,7 @@
 
 // TestHandOver sends calls again after the home of their keys left.
 func TestHandOver(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3)
 	client := newClient(t)
 	const calls = 60
--- a/internal/node/keyed_test.go
+++ b/internal/node/keyed_test.go
@@ -17,6 +17,7 @@
 }
 
 func TestKeyedCalls(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3)
 	client := newClient(t)
 	t.Run("a call sent through all nodes at once runs once", func(t *testing.T) {
@@ -90,6 +91,7 @@
 }
 
 func TestKeyedCallsWithoutPlatform(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3)
 	client := newClient(t)
 	f.store.SetFaults(objectapi.Faults{Down: true})
@@ -114,6 +116,7 @@
 // TestKilledHome ends the home of some keys under load. Each caller sends its
 // call again through other nodes until it is answered or gives up.
 func TestKilledHome(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 3)
 	client := newClient(t)
 	const calls = 600
@@ -162,6 +165,7 @@
 // without a key may be sent again by their callers' nodes only if they did not
 // run.
 func TestKilledServer(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2)
 	client := newClient(t)
 	const calls = 400
