follow: fewer chunks read from the platform at a cold start

A new test starts 12 nodes of two zones with nothing in any memory while the platform takes 100 reads a second.

--- a/core/follow/fetch.go
+++ b/core/follow/fetch.go
@@ -17,7 +17,11 @@
 	}
 	c.asked = sources[c.tries%len(sources)]
 	c.deadline = now.Add(chunkTimeout)
-	m.do(FetchChunks{From: c.asked, Hashes: slices.Clone(c.missing[:min(len(c.missing), maxBatch)])})
+	batch := maxBatch
+	if c.asked == Platform && len(c.missing) > bulk {
+		batch = platformBatch
+	}
+	m.do(FetchChunks{From: c.asked, Hashes: slices.Clone(c.missing[:min(len(c.missing), batch)])})
 }
 
 // sources returns whom to ask for the chunks of a candidate, the best first:
@@ -66,8 +70,12 @@
 	}
 	for _, c := range m.candidates {
 		if c.asked == e.From {
-			// The same source is asked for the rest.
+			// The same source is asked for the rest, but the platform only once in
+			// each round: other readers have read other chunks meanwhile.
 			c.asked = ""
+			if e.From == Platform && len(c.missing) > bulk {
+				c.tries++
+			}
 		}
 	}
 	m.advance(now)
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -178,12 +178,14 @@
 	maxCandidates = 4
 	// maxBatch bounds the chunks asked of one source at once.
 	maxBatch = 32
+	// platformBatch is maxBatch for the platform while many chunks are missing.
+	platformBatch = 8
 	// bulk is the number of missing chunks above which peers are asked before
 	// the platform, whatever the platform announced.
 	bulk = 16
 	// patience is the number of rounds after which a node that is no reader asks
 	// the platform for chunks.
-	patience = 3
+	patience = 8
 	// maxRemembered bounds the rejections and conflicts that are remembered.
 	maxRemembered = 64
 	maxReasons    = 8
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -43,7 +43,7 @@
 	tickPeriod = 100 * time.Millisecond
 	// settleTime is how long a node that knows no other node of its zone waits
 	// before it takes itself for a reader.
-	settleTime = 1 * time.Second
+	settleTime = 2 * time.Second
 	// maxTransfers bounds the transfers of chunks to other nodes at once.
 	maxTransfers = 8
 )
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"lavenderdeal/core/plans"
+	"lavenderdeal/core/relay"
 	"lavenderdeal/internal/httpserver"
 	"lavenderdeal/internal/node"
 	"lavenderdeal/internal/publish"
@@ -94,13 +95,20 @@
 }
 
 // publish writes a version in which the customer has this plan.
-func (f *fixture) publish(plan string) uint64 {
+func (f *fixture) publish(plan string) uint64 { return f.publishMany(plan, 0).Version }
+
+// publishMany is like publish, with more customers.
+func (f *fixture) publishMany(plan string, more int) objects.Head {
 	f.t.Helper()
 	current, err := f.write.Current(f.t.Context())
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	customers := lists.CustomerList{Customers: []lists.Customer{{Name: "crew", Plan: plan, KeyHashes: []string{plans.HashKey("crew-key")}}}}
+	for i := range more {
+		name := fmt.Sprint("customer-", i)
+		customers.Customers = append(customers.Customers, lists.Customer{Name: name, Plan: plan, KeyHashes: []string{plans.HashKey(name)}})
+	}
 	uses := []lists.Use{{Service: "bookings", Priority: lists.UsePriorityHigh}}
 	planList := lists.PlanList{
 		Services: []lists.Service{{Name: "bookings", Timeout: units.Duration(time.Second)}},
@@ -110,7 +118,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	return head.Version
+	return head
 }
 
 // waitVersion waits until all nodes have a version in force.
@@ -234,6 +242,24 @@
 	})
 }
 
+// TestColdStart starts all nodes with nothing in any memory, while the platform
+// takes few reads.
+func TestColdStart(t *testing.T) {
+	const zones, nodesPerZone, readsPerSecond = 2, 6, 100
+	f := newFixture(t)
+	head := f.publishMany("gold", 5000)
+	f.store.SetLimits(objectapi.Limits{ReadsPerSecond: readsPerSecond, WritesPerSecond: readsPerSecond})
+	for zone := range zones {
+		f.start(fmt.Sprint("zone-", zone), nodesPerZone)
+	}
+	f.waitVersion(head.Version, startWithin)
+	chunks := len(head.CustomerChunks) + len(head.PlanChunks)
+	if got := f.sum("chunksFromPlatform"); got > int64(zones*relay.ReaderCount*chunks) {
+		t.Errorf("%d chunks from the platform, want at most %d for each of %d readers", got, chunks, zones*relay.ReaderCount)
+	}
+	t.Logf("%d chunks, %d from the platform, %d from peers", chunks, f.sum("chunksFromPlatform"), f.sum("chunksFromPeers"))
+}
+
 func TestZoneWithoutPlatform(t *testing.T) {
 	f := newFixture(t)
 	f.publish("gold")
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -59,9 +59,16 @@
 }
 
 // isSettled says whether the view may be believed: it has another node of the
-// zone, or there was time to find one. The caller holds mu.
+// zone that serves already, or there was time to find the others that start. The
+// caller holds mu.
 func (l *Loop) isSettled(view *fleet.View) bool {
-	return len(view.Zone(view.Self().Zone)) > 1 || time.Since(l.startAt) >= settleTime
+	if time.Since(l.startAt) >= settleTime {
+		return true
+	}
+	self := view.Self()
+	return slices.ContainsFunc(view.Zone(self.Zone), func(m messages.Member) bool {
+		return m.Id != self.Id && fleet.IsServing(m.State)
+	})
 }
 
 // neighbours returns whom to ask, the best first: a reader and other nodes of
