membership: a new representative looks for other zones at once

A node asked only once in about 30 s whether it is a representative. When none of a zone was one at its moment, the zone found the others half a minute late. Found while looking for one failure of 'go test -race ./internal/membership' (1 of 6 runs, load average 13, a wait of 30 s ended; which test was not seen). Whether this was its cause is not shown.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -23,6 +23,9 @@
 	lookPause          = 1 * time.Second
 	maxLookPause       = 10 * time.Second
 	refreshPeriod      = 30 * time.Second
+	// rolePause is the time between two looks at whether the node has become a
+	// representative.
+	rolePause = 1 * time.Second
 	// zonePause is the time between two reads of the objects of other zones.
 	zonePause = 100 * time.Millisecond
 	// maxAddresses is the number of addresses in the object of a zone.
@@ -44,11 +47,15 @@
 	sleep(ctx, rand.N(spread))
 	l.look(ctx)
 	for ctx.Err() == nil {
+		// A node may become a representative at any time, often soon after it
+		// joined; waiting out a whole period would leave the zone without one.
+		pause := rolePause
 		if l.ask((*member.Table).IsRepresentative) {
 			l.refresh(ctx)
 			l.visitZones(ctx)
+			pause = refreshPeriod*3/4 + rand.N(refreshPeriod/2)
 		}
-		sleep(ctx, refreshPeriod*3/4+rand.N(refreshPeriod/2))
+		sleep(ctx, pause)
 	}
 	return nil
 }
