--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -271,6 +271,19 @@
 	return running
 }
 
+// nodes returns the nodes that run.
+func (f *Fleet) nodes() []*node.Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var nodes []*node.Node
+	for _, i := range f.Instances {
+		if i.running {
+			nodes = append(nodes, i.Node)
+		}
+	}
+	return nodes
+}
+
 // WaitReady waits until every running node is ready and knows all others.
 func (f *Fleet) WaitReady(ctx context.Context, limit time.Duration) error {
 	running := f.Running()
