follow: ask a slow source for fewer chunks, keep packed chunks

Cause: TestColdStart under the race detector, beside other packages, ended after 30 s with 8 of 12 nodes starting. Each had received 1.7 MB of chunks and kept none: a batch of 32 chunks took longer than its 2 s, its answer was dropped and the same batch was asked again, and the readers packed the same chunks for every question. Ruled out: the platform's limit (the readers had all chunks).

Change: each failure halves the batch, down to one chunk; packed chunks are kept.

--- a/core/follow/fetch.go
+++ b/core/follow/fetch.go
@@ -17,11 +17,18 @@
 	}
 	c.asked = sources[c.tries%len(sources)]
 	c.deadline = now.Add(chunkTimeout)
+	m.do(FetchChunks{From: c.asked, Hashes: slices.Clone(c.missing[:min(len(c.missing), c.batch())])})
+}
+
+// batch returns how many chunks the candidate asks for at once. Each failure
+// halves it, so that a source or a network that is too slow for a whole batch
+// still gives a part in time.
+func (c *candidate) batch() int {
 	batch := maxBatch
 	if c.asked == Platform && len(c.missing) > bulk {
 		batch = platformBatch
 	}
-	m.do(FetchChunks{From: c.asked, Hashes: slices.Clone(c.missing[:min(len(c.missing), batch)])})
+	return max(1, batch>>min(c.failures, maxHalvings))
 }
 
 // sources returns whom to ask for the chunks of a candidate, the best first:
@@ -73,6 +80,7 @@
 			// The same source is asked for the rest, but the platform only once in
 			// each round: other readers have read other chunks meanwhile.
 			c.asked = ""
+			c.failures = max(0, c.failures-1)
 			if e.From == Platform && len(c.missing) > bulk {
 				c.tries++
 			}
@@ -103,6 +111,9 @@
 func (m *Machine) nextSource(now time.Time, c *candidate, retryAfter time.Duration) {
 	c.asked = ""
 	c.tries++
+	if retryAfter == 0 {
+		c.failures++
+	}
 	sources := len(m.sources(c))
 	if sources == 0 || c.tries%sources == 0 {
 		c.nextTry = now.Add(max(m.pause(c.tries/max(sources, 1)), retryAfter))
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -178,6 +178,8 @@
 	maxCandidates = 4
 	// maxBatch bounds the chunks asked of one source at once.
 	maxBatch = 32
+	// maxHalvings bounds how often failures halve a batch.
+	maxHalvings = 6
 	// platformBatch is maxBatch for the platform while many chunks are missing.
 	platformBatch = 8
 	// bulk is the number of missing chunks above which peers are asked before
@@ -220,9 +222,12 @@
 // candidate is a head that may follow the one held.
 type candidate struct {
 	Head
-	offers   []Source
-	missing  []string
-	tries    int
+	offers  []Source
+	missing []string
+	tries   int
+	// failures counts fetches that gave nothing, less those that gave something
+	// since.
+	failures int
 	asked    Source
 	deadline time.Time
 	nextTry  time.Time
--- a/internal/follow/compress.go
+++ b/internal/follow/compress.go
@@ -43,3 +43,32 @@
 	}
 	return unpacked, nil
 }
+
+// packedChunks keeps chunks as they are sent, since a node that serves a herd
+// sends the same ones often. Lock order: mu is the only lock.
+type packedChunks struct {
+	mu     sync.Mutex
+	byHash map[string][]byte
+}
+
+// get returns a chunk as it is sent. The node holds a number of chunks; the
+// packed ones are dropped when there are more than twice as many.
+func (p *packedChunks) get(hash string, data []byte, held int) ([]byte, error) {
+	p.mu.Lock()
+	packed, ok := p.byHash[hash]
+	p.mu.Unlock()
+	if ok {
+		return packed, nil
+	}
+	packed, err := compress(data)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.byHash == nil || len(p.byHash) >= 2*held {
+		p.byHash = make(map[string][]byte)
+	}
+	p.byHash[hash] = packed
+	return packed, nil
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -62,6 +62,7 @@
 	run       atomic.Pointer[runState]
 	transfers atomic.Int64
 	pace      pace
+	packed    packedChunks
 
 	mu      sync.Mutex
 	machine core.Machine
--- a/internal/follow/serve.go
+++ b/internal/follow/serve.go
@@ -69,7 +69,7 @@
 		if !ok {
 			continue
 		}
-		packed, err := compress(data)
+		packed, err := l.packed.get(hash, data, len(chunks))
 		if err != nil {
 			return answer, err
 		}
