--- a/internal/calls/keyed.go
+++ b/internal/calls/keyed.go
@@ -18,6 +18,7 @@
 	"lavenderdeal/core/once"
 	"lavenderdeal/core/verdict"
 	"lavenderdeal/internal/homes"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/caller"
 	"lavenderdeal/schema/messages"
 )
@@ -52,7 +53,7 @@
 		}
 		e.metrics.Add("homesStale", 1)
 		e.homes.Forget(call.Service)
-		if !pause(ctx, stalePause) {
+		if !wait.For(ctx, stalePause) {
 			return nil, err
 		}
 	}
@@ -228,15 +229,3 @@
 	b.read.Store(true)
 	return b.Reader.Read(p)
 }
-
-// pause waits and returns false when the call ended meanwhile.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -31,6 +31,7 @@
 	"lavenderdeal/core/quarantine"
 	"lavenderdeal/core/verdict"
 	"lavenderdeal/internal/metrics"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/peer"
 	"lavenderdeal/schema/messages"
 )
@@ -205,7 +206,7 @@
 	refused := false
 	for i := 0; i < probes && !refused; i++ {
 		refused = w.isRefused(ctx)
-		if !refused && !pause(ctx, probePause) {
+		if !refused && !wait.For(ctx, probePause) {
 			return quarantine.Crash{}, false
 		}
 	}
@@ -320,14 +321,3 @@
 	}
 	return c
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -19,6 +19,7 @@
 	"lavenderdeal/internal/load"
 	"lavenderdeal/internal/standin/cuts"
 	"lavenderdeal/internal/trial"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/schema/lists"
 )
 
@@ -103,15 +104,15 @@
 
 func (d *Demo) events(ctx context.Context) {
 	step := d.duration / 5
-	pause(ctx, step)
+	wait.For(ctx, step)
 	d.change(ctx, "an operator gives councils a new plan", withCouncilBookings(true))
-	pause(ctx, step)
+	wait.For(ctx, step)
 	d.say("availability zone palermo is cut off from catania and from the platform")
 	d.fleet.Network.Cut(2, 1)
 	d.fleet.Network.Cut(2, cuts.Platform)
-	pause(ctx, step/2)
+	wait.For(ctx, step/2)
 	version := d.apply(ctx, "the operator takes the new plan back while palermo is cut off", withCouncilBookings(false))
-	pause(ctx, step/2)
+	wait.For(ctx, step/2)
 	d.say("the cut is healed")
 	d.fleet.Network.Heal()
 	d.waitInForce(ctx, version, time.Now())
@@ -262,10 +263,3 @@
 	}
 	return plans
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -10,6 +10,7 @@
 
 	"lavenderdeal/core/confirm"
 	"lavenderdeal/internal/publish"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/peer"
 	"lavenderdeal/io/platform"
 	"lavenderdeal/schema/messages"
@@ -40,7 +41,7 @@
 		current, readers := l.ownReport()
 		same := current.Version == sent.Version && current.Rejected == sent.Rejected && slices.Equal(readers, sentTo)
 		if same && time.Now().Before(due) || len(readers) == 0 {
-			sleep(ctx, tickPeriod)
+			wait.For(ctx, tickPeriod)
 			continue
 		}
 		sequence++
@@ -92,7 +93,7 @@
 func (l *Loop) writeStatus(ctx context.Context) {
 	var revision platform.Revision
 	for ctx.Err() == nil {
-		sleep(ctx, statusTick)
+		wait.For(ctx, statusTick)
 		status, action := l.nextStatus()
 		switch action {
 		case confirm.Read:
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -224,12 +224,3 @@
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
 func version(number uint64) string { return "version " + strconv.FormatUint(number, 10) }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/follow/pace.go
+++ b/internal/follow/pace.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"lavenderdeal/internal/wait"
 )
 
 const (
@@ -28,7 +30,7 @@
 
 // wait waits for the node's turn and returns false when ctx ends first.
 func (p *pace) wait(ctx context.Context, readers int) bool {
-	sleep(ctx, p.reserve(time.Now(), readers))
+	wait.For(ctx, p.reserve(time.Now(), readers))
 	return ctx.Err() == nil
 }
 
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -10,6 +10,7 @@
 	"lavenderdeal/core/fleet"
 	"lavenderdeal/core/floor"
 	"lavenderdeal/core/relay"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/schema/messages"
 )
 
@@ -31,7 +32,7 @@
 		if l.tryOpen() {
 			return
 		}
-		sleep(ctx, jitter(pause))
+		wait.For(ctx, jitter(pause))
 		pause = min(2*pause, longestAskPause)
 	}
 }
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -9,6 +9,7 @@
 	core "lavenderdeal/core/follow"
 	"lavenderdeal/core/relay"
 	"lavenderdeal/internal/publish"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/platform"
 	"lavenderdeal/schema/messages"
 )
@@ -34,7 +35,7 @@
 	for ctx.Err() == nil {
 		if !l.IsReader() {
 			known = false
-			sleep(ctx, tickPeriod)
+			wait.For(ctx, tickPeriod)
 			continue
 		}
 		object, changed, err := l.readOrWatch(ctx, known, revision)
@@ -48,7 +49,7 @@
 			// The head is read again as a whole, also when it did not change.
 			known = false
 			l.platformFailed(err)
-			sleep(ctx, jitter(pause))
+			wait.For(ctx, jitter(pause))
 			pause = min(2*pause, longestPause)
 		case changed:
 			known, revision, pause = true, object.Revision, firstPause
@@ -114,7 +115,7 @@
 // reader, so that a zone without the platform still follows.
 func (l *Loop) exchange(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, jitter(exchangePeriod))
+		wait.For(ctx, jitter(exchangePeriod))
 		l.mu.Lock()
 		view, isReader, n := l.view, l.isReader, 1
 		if l.platform != messages.HeldHeadPlatformFresh {
--- a/internal/homes/leave.go
+++ b/internal/homes/leave.go
@@ -9,6 +9,7 @@
 
 	"lavenderdeal/core/home"
 	"lavenderdeal/core/once"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/peer"
 	"lavenderdeal/schema/messages"
 )
@@ -42,7 +43,7 @@
 		if err = l.leaveOnce(ctx); err == nil || ctx.Err() != nil {
 			return err
 		}
-		sleep(ctx, leavePause)
+		wait.For(ctx, leavePause)
 	}
 	return err
 }
@@ -181,12 +182,3 @@
 	}
 	return r
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -10,6 +10,7 @@
 
 	"lavenderdeal/core/plans"
 	"lavenderdeal/internal/trial"
+	"lavenderdeal/internal/wait"
 )
 
 // The size that decides, from the users' letter.
@@ -112,10 +113,10 @@
 	defer func() { r.promise(monitor.Stop()...) }()
 	n := len(fleet.Instances)
 	s := controlSample{controlSize: size}
-	pause(ctx, r.scaled(settlePause))
+	wait.For(ctx, r.scaled(settlePause))
 
 	before := spent(fleet)
-	pause(ctx, r.scaled(idleDuration))
+	wait.For(ctx, r.scaled(idleDuration))
 	idle := spent(fleet).since(before)
 	s.idleBytes, s.idleCPU = idle.perNodeSecond(n)
 	s.idleCalls = idle.calls / idle.seconds
@@ -157,7 +158,7 @@
 			return spending{}, err
 		}
 	}
-	pause(ctx, r.scaled(time.Second))
+	wait.For(ctx, r.scaled(time.Second))
 	return spent(fleet).since(before), nil
 }
 
@@ -174,9 +175,9 @@
 		if err := fleet.StartNode(i); err != nil {
 			return spending{}, err
 		}
-		pause(ctx, restartPause)
+		wait.For(ctx, restartPause)
 	}
-	pause(ctx, r.scaled(restartSettle))
+	wait.For(ctx, r.scaled(restartSettle))
 	if err := fleet.WaitReady(ctx, readyLimit); err != nil {
 		return spending{}, err
 	}
--- a/internal/measure/convergence.go
+++ b/internal/measure/convergence.go
@@ -9,6 +9,7 @@
 
 	"lavenderdeal/internal/standin/cuts"
 	"lavenderdeal/internal/trial"
+	"lavenderdeal/internal/wait"
 )
 
 const (
@@ -71,7 +72,7 @@
 			if err := c.fleet.StartNode(i); err != nil {
 				return err
 			}
-			pause(churnCtx, churnPause)
+			wait.For(churnCtx, churnPause)
 		}
 		return nil
 	})
@@ -91,7 +92,7 @@
 func (c *convergenceRun) platformOut(ctx context.Context) error {
 	c.fleet.Network.Cut(1, cuts.Platform)
 	defer c.fleet.Network.Heal()
-	pause(ctx, c.scaled(cutDuration))
+	wait.For(ctx, c.scaled(cutDuration))
 	return c.changeOften(ctx, "platformOut", c.count(changesOther))
 }
 
@@ -107,7 +108,7 @@
 		if err != nil {
 			return err
 		}
-		pause(ctx, c.scaled(cutDuration))
+		wait.For(ctx, c.scaled(cutDuration))
 		c.fleet.Network.Heal()
 		healed := time.Now()
 		if err := c.waitInForce(ctx, "partition", version); err != nil {
@@ -163,7 +164,7 @@
 		if err != nil {
 			return err
 		}
-		pause(ctx, changePause)
+		wait.For(ctx, changePause)
 		if err := c.waitInForce(ctx, situation, version); err != nil {
 			return err
 		}
@@ -185,7 +186,7 @@
 		return err
 	}
 	// The monitor looks at the nodes at its own pace.
-	pause(ctx, 20*time.Millisecond)
+	wait.For(ctx, 20*time.Millisecond)
 	return nil
 }
 
--- a/internal/measure/flood.go
+++ b/internal/measure/flood.go
@@ -8,6 +8,7 @@
 	"lavenderdeal/core/priority"
 	"lavenderdeal/internal/load"
 	"lavenderdeal/internal/trial"
+	"lavenderdeal/internal/wait"
 )
 
 // floodCase is one flood: of a priority, from a number of customers.
@@ -74,7 +75,7 @@
 		r.series = append(r.series, latencySeries("service during flood "+c.name, p, report))
 	}
 	r.atLeast(c.name+".capacityUsed", capacityUsed(report, capacity), capacityTarget)
-	pause(ctx, time.Second)
+	wait.For(ctx, time.Second)
 }
 
 // keptOfCapacity returns the share of the capacity that answered calls of a
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -220,10 +220,3 @@
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/measure/memory.go
+++ b/internal/measure/memory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lavenderdeal/internal/trial"
+	"lavenderdeal/internal/wait"
 )
 
 const (
@@ -62,7 +63,7 @@
 		return 0, err
 	}
 	defer fleet.Close()
-	pause(ctx, r.scaled(memorySettle))
+	wait.For(ctx, r.scaled(memorySettle))
 	return (liveHeap() - before) / float64(len(fleet.Instances)) / megabyte, nil
 }
 
--- a/internal/measure/restart.go
+++ b/internal/measure/restart.go
@@ -9,6 +9,7 @@
 
 	"lavenderdeal/internal/standin/objectapi"
 	"lavenderdeal/internal/trial"
+	"lavenderdeal/internal/wait"
 )
 
 const (
@@ -100,7 +101,7 @@
 				missing--
 			}
 		}
-		pause(ctx, 5*time.Millisecond)
+		wait.For(ctx, 5*time.Millisecond)
 		if ctx.Err() != nil {
 			return nil, errors.Newf("%d of %d nodes are not ready after %s", missing, len(herd), readyLimit)
 		}
--- a/internal/measure/stops.go
+++ b/internal/measure/stops.go
@@ -10,6 +10,7 @@
 
 	"lavenderdeal/internal/load"
 	"lavenderdeal/internal/trial"
+	"lavenderdeal/internal/wait"
 )
 
 const (
@@ -54,9 +55,9 @@
 			stop()
 			return err
 		}
-		pause(ctx, afterStop)
+		wait.For(ctx, afterStop)
 	}
-	pause(ctx, afterStop)
+	wait.For(ctx, afterStop)
 	stop()
 	_ = group.Wait()
 	r.check(fleet, report)
@@ -100,13 +101,13 @@
 			err = fleet.RestartServer(i)
 		} else {
 			fleet.KillNode(i)
-			pause(ctx, killPause/4)
+			wait.For(ctx, killPause/4)
 			err = fleet.StartNode(i)
 		}
 		if err != nil {
 			return err
 		}
-		pause(ctx, killPause)
+		wait.For(ctx, killPause)
 	}
 	_ = group.Wait()
 	r.check(fleet, report)
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -13,6 +13,7 @@
 
 	"lavenderdeal/core/explain"
 	"lavenderdeal/core/member"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/platform"
 	"lavenderdeal/schema/objects"
 )
@@ -44,7 +45,7 @@
 	if spread == 0 {
 		spread = defaultStartJitter
 	}
-	sleep(ctx, rand.N(spread))
+	wait.For(ctx, rand.N(spread))
 	l.look(ctx)
 	for ctx.Err() == nil {
 		// A node may become a representative at any time, often soon after it
@@ -55,7 +56,7 @@
 			l.visitZones(ctx)
 			pause = refreshPeriod*3/4 + rand.N(refreshPeriod/2)
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 	return nil
 }
@@ -79,7 +80,7 @@
 		default:
 			failures = 0
 		}
-		sleep(ctx, rand.N(pause)+time.Millisecond)
+		wait.For(ctx, rand.N(pause)+time.Millisecond)
 	}
 }
 
@@ -138,7 +139,7 @@
 			continue
 		}
 		l.event(func(t *member.Table, now time.Time) []member.Effect { return t.Introduce(now, addresses) })
-		sleep(ctx, zonePause)
+		wait.For(ctx, zonePause)
 	}
 }
 
@@ -192,12 +193,3 @@
 	l.Ring.Add(explain.Record{At: time.Now(), Kind: kind, Subject: l.zone, Detail: detail})
 	l.Log.WithField("subject", l.zone).WithField("detail", detail).Info(kind)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/schema/messages"
 )
 
@@ -42,7 +43,7 @@
 		n.metrics.Add("homeLeaveFailed", 1)
 		n.log.WithError(err).Warn("the records of idempotency keys were not handed over")
 	}
-	wait(ctx, n.cfg.Drain.Announce.Std()-time.Since(announced))
+	wait.For(ctx, n.cfg.Drain.Announce.Std()-time.Since(announced))
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Drain.Finish.Std())
 	defer cancel()
 	n.waitQuiet(ctx)
@@ -65,15 +66,6 @@
 	ctx, cancel := context.WithTimeout(ctx, quietLimit)
 	defer cancel()
 	for ctx.Err() == nil && time.Since(n.runner.QuietSince()) < quiet {
-		wait(ctx, quietPoll)
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		wait.For(ctx, quietPoll)
 	}
 }
--- a/internal/standin/backend/process.go
+++ b/internal/standin/backend/process.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavenderdeal/internal/httpserver"
+	"lavenderdeal/internal/wait"
 )
 
 const restartRetry = 20 * time.Millisecond
@@ -95,7 +96,7 @@
 		p.crashes++
 		_ = p.http.Close()
 		p.mu.Unlock()
-		if !pause(ctx, p.down) || !p.restart(ctx) {
+		if !wait.For(ctx, p.down) || !p.restart(ctx) {
 			return
 		}
 	}
@@ -111,20 +112,8 @@
 			p.mu.Unlock()
 			return true
 		}
-		if !pause(ctx, restartRetry) {
+		if !wait.For(ctx, restartRetry) {
 			return false
 		}
 	}
 }
-
-// pause returns false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
