--- a/cmd/lavenderdeal/plans_test.go
+++ b/cmd/lavenderdeal/plans_test.go
@@ -16,10 +16,10 @@
 
 	"lavenderdeal/core/explain"
 	"lavenderdeal/core/listdiff"
-	"lavenderdeal/internal/httpserver"
 	"lavenderdeal/internal/metrics"
 	"lavenderdeal/internal/publish"
 	"lavenderdeal/internal/standin/objectapi"
+	"lavenderdeal/internal/standin/testserver"
 	"lavenderdeal/io/operator"
 	"lavenderdeal/io/platform"
 	"lavenderdeal/schema/objects"
@@ -51,15 +51,9 @@
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	api := objectapi.New()
-	server, err := httpserver.Start(netip.MustParseAddrPort("127.0.0.1:0"), api)
-	if err != nil {
-		t.Fatal(err)
-	}
+	server := testserver.Start(t, api)
 	client := platform.New(server.Addr())
-	t.Cleanup(func() {
-		client.Close()
-		_ = server.Close()
-	})
+	t.Cleanup(client.Close)
 	b := &bench{
 		api:      api,
 		platform: server.Addr(),
@@ -286,12 +280,7 @@
 // serveStatus serves a node's status and returns the address.
 func serveStatus(t *testing.T, status operator.Status) string {
 	t.Helper()
-	server, err := httpserver.Start(loopback, &operator.Handler{Status: func() operator.Status { return status }})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = server.Close() })
-	return server.Addr().String()
+	return testserver.Start(t, &operator.Handler{Status: func() operator.Status { return status }}).Addr().String()
 }
 
 // TestNodesConfirm has real nodes follow a change, one zone each.
@@ -345,15 +334,11 @@
 		ring := explain.NewRing(4)
 		ring.Add(explain.Record{At: time.Unix(int64(10-i), 0), Kind: "versionApplied", Subject: zone})
 		ring.Add(explain.Record{At: time.Unix(20, 0), Kind: "versionRejected", Subject: zone})
-		server, err := httpserver.Start(netip.MustParseAddrPort("127.0.0.1:0"), &operator.Handler{
+		server := testserver.Start(t, &operator.Handler{
 			Status:  func() operator.Status { return operator.Status{Zone: zone, State: "ready", Version: 7} },
 			Ring:    ring,
 			Metrics: metrics.New().Map(),
 		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = server.Close() })
 		addresses = append(addresses, server.Addr().String())
 	}
 	t.Run("status", func(t *testing.T) {
--- a/cmd/lavenderdeal/secrets_test.go
+++ b/cmd/lavenderdeal/secrets_test.go
@@ -14,12 +14,12 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 
-	"lavenderdeal/internal/httpserver"
 	"lavenderdeal/internal/node"
 	"lavenderdeal/internal/standin/objectapi"
+	"lavenderdeal/internal/standin/testserver"
 	"lavenderdeal/internal/units"
 	"lavenderdeal/io/operator"
-	"lavenderdeal/schema/settings"
+	"lavenderdeal/io/settings"
 )
 
 const (
@@ -29,15 +29,9 @@
 	wrongKey        = "wrong-key-that-nobody-may-see"
 )
 
-var loopback = netip.MustParseAddrPort("127.0.0.1:0")
-
 func startForSecrets(t *testing.T) (*node.Node, *memory.Handler) {
 	t.Helper()
-	store, err := httpserver.Start(loopback, objectapi.New())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = store.Close() })
+	store := testserver.Start(t, objectapi.New())
 	lines := memory.New()
 	return startNode(t, "catania", store.Addr(), lines), lines
 }
@@ -45,15 +39,10 @@
 // startNode starts a node without a backend server.
 func startNode(t *testing.T, zone string, store netip.AddrPort, lines log.Handler) *node.Node {
 	t.Helper()
-	n, err := node.Start(settings.Settings{
-		Zone: zone, Region: "sicily", Service: "availability",
-		Server:      settings.Server{Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 1, Connections: 4, HealthPath: "/health"},
-		Listen:      settings.Listen{Caller: loopback, Peer: loopback, Call: loopback, Operator: loopback},
-		Platform:    settings.Platform{Address: store, Token: testToken, Timeout: units.Duration(time.Second)},
-		PeerKey:     testPeerKey,
-		OperatorKey: testOperatorKey,
-		Drain:       settings.Drain{Finish: units.Duration(time.Second)},
-	}, node.WithLog(&log.Logger{Handler: lines, Level: log.DebugLevel}))
+	cfg := settings.ForLoopback(zone, "availability", netip.MustParseAddrPort("127.0.0.1:1"), store)
+	cfg.PeerKey, cfg.OperatorKey, cfg.Platform.Token = testPeerKey, testOperatorKey, testToken
+	cfg.Drain.Announce, cfg.Drain.Finish = 0, units.Duration(time.Second)
+	n, err := node.Start(cfg, node.WithLog(&log.Logger{Handler: lines, Level: log.DebugLevel}))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/calls/fleet_test.go
+++ b/internal/calls/fleet_test.go
@@ -1,20 +1,15 @@
 package calls_test
 
 import (
-	"context"
 	"net/http"
-	"net/netip"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"lavenderdeal/core/limit"
-	"lavenderdeal/internal/httpclient"
-	"lavenderdeal/internal/standin/backend"
+	"lavenderdeal/internal/load"
 	"lavenderdeal/internal/trial"
-	"lavenderdeal/internal/units"
-	"lavenderdeal/io/caller"
 	"lavenderdeal/schema/lists"
 )
 
@@ -28,20 +23,7 @@
 // each.
 func start(t *testing.T, uses map[string]lists.Use) *trial.Fleet {
 	t.Helper()
-	shape := trial.Shape{
-		Name:     "calls",
-		Zones:    []trial.Zone{{Name: "catania", Region: "sicily"}},
-		Services: []trial.Service{{Name: service, ServersPerZone: []int{servers}, Slots: 8, Connections: 40}},
-		Plans:    lists.PlanList{Services: []lists.Service{{Name: service, Timeout: units.Duration(10 * time.Second)}}},
-	}
-	var pairs []string
-	for customer, use := range uses {
-		use.Service, use.Priority = service, "urgent"
-		shape.Plans.Plans = append(shape.Plans.Plans, lists.Plan{Name: customer, Uses: []lists.Use{use}})
-		pairs = append(pairs, customer+":"+customer)
-	}
-	shape.Customers = trial.Customers(pairs...)
-	fleet, err := trial.Start(t.Context(), shape)
+	fleet, err := trial.Start(t.Context(), trial.OneService(service, servers, uses))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,40 +34,24 @@
 	return fleet
 }
 
-// send sends a call and returns the rule that refused it, or "".
-func send(ctx context.Context, client *httpclient.Client, to netip.AddrPort, customer, work string) (string, error) {
-	r, err := httpclient.NewRequest(ctx, http.MethodGet, "http://"+to.String()+"/", nil)
-	if err != nil {
-		return "", err
-	}
-	r.Header.Set("Authorization", "Bearer "+trial.Key(customer))
-	r.Header.Set(caller.HeaderService, service)
-	r.Header.Set(backend.HeaderWork, work)
-	answer, err := client.Do(r)
-	if err != nil {
-		return "", err
-	}
-	defer answer.Body.Close()
-	return answer.Header.Get(caller.HeaderRule), nil
+// classOf is a call that takes some work.
+func classOf(customer string, work time.Duration) load.Class {
+	return load.Class{Key: trial.Key(customer), Service: service, Method: http.MethodGet, Path: "/", Work: work}
 }
 
 // sendMany sends n calls at once and counts them by the rule that refused them.
-func sendMany(t *testing.T, fleet *trial.Fleet, customer, work string, n int) map[string]int {
+func sendMany(t *testing.T, fleet *trial.Fleet, customer string, work time.Duration, n int) map[string]int {
 	t.Helper()
-	client := httpclient.New("test")
-	t.Cleanup(client.Close)
 	targets := fleet.Targets()
 	outcomes := make([]string, n)
 	var group errgroup.Group
 	for i := range outcomes {
-		group.Go(func() (err error) {
-			outcomes[i], err = send(t.Context(), client, targets[i%len(targets)], customer, work)
-			return err
+		group.Go(func() error {
+			outcomes[i] = load.SendOnce(t.Context(), classOf(customer, work), targets[i%len(targets)], "").Rule
+			return nil
 		})
 	}
-	if err := group.Wait(); err != nil {
-		t.Fatal(err)
-	}
+	_ = group.Wait()
 	counts := make(map[string]int)
 	for _, rule := range outcomes {
 		counts[rule]++
@@ -102,7 +68,7 @@
 	fleet := start(t, map[string]lists.Use{"slow": {CallsPerSecond: rate}, "narrow": {Concurrent: concurrent}})
 	t.Run("rate", func(t *testing.T) {
 		begun := time.Now()
-		counts := sendMany(t, fleet, "slow", "1ms", sent)
+		counts := sendMany(t, fleet, "slow", time.Millisecond, sent)
 		allowed := int(rate * (1 + time.Since(begun).Seconds()))
 		if counts[""] == 0 || counts[""] > allowed {
 			t.Errorf("%d calls were answered, want 1 to %d", counts[""], allowed)
@@ -112,7 +78,7 @@
 		}
 	})
 	t.Run("calls at once", func(t *testing.T) {
-		counts := sendMany(t, fleet, "narrow", "200ms", sent)
+		counts := sendMany(t, fleet, "narrow", 200*time.Millisecond, sent)
 		if counts[limit.RuleConcurrency] == 0 || counts[""]+counts[limit.RuleConcurrency] != sent {
 			t.Errorf("outcomes %v, want answers and %s only", counts, limit.RuleConcurrency)
 		}
@@ -130,16 +96,11 @@
 	const sent = 30
 	fleet := start(t, map[string]lists.Use{"crew": {}})
 	fleet.KillNode(fleet.Instances[0])
-	client := httpclient.New("test")
-	t.Cleanup(client.Close)
 	targets := fleet.Targets()
 	for i := range sent {
-		rule, err := send(t.Context(), client, targets[i%len(targets)], "crew", "1ms")
-		if err != nil {
-			t.Fatal(err)
-		}
-		if rule != "" {
-			t.Errorf("call %d was refused by %s", i, rule)
+		answer := load.SendOnce(t.Context(), classOf("crew", time.Millisecond), targets[i%len(targets)], "")
+		if answer.Rule != "" {
+			t.Errorf("call %d was refused by %s", i, answer.Rule)
 		}
 	}
 }
--- a/internal/crashes/crashes_test.go
+++ b/internal/crashes/crashes_test.go
@@ -7,11 +7,9 @@
 	"testing"
 	"time"
 
-	"lavenderdeal/internal/httpclient"
-	"lavenderdeal/internal/standin/backend"
+	"lavenderdeal/internal/load"
 	"lavenderdeal/internal/trial"
-	"lavenderdeal/internal/units"
-	"lavenderdeal/io/caller"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/schema/lists"
 )
 
@@ -22,37 +20,11 @@
 	waitLimit  = 10 * time.Second
 )
 
-func shape() trial.Shape {
-	return trial.Shape{
-		Name:      "crashes",
-		Zones:     []trial.Zone{{Name: "catania", Region: "sicily"}},
-		Services:  []trial.Service{{Name: service, ServersPerZone: []int{4}, Slots: 8, Connections: 40}},
-		Customers: trial.Customers(customer + ":plan"),
-		Plans: lists.PlanList{
-			Services: []lists.Service{{Name: service, Timeout: units.Duration(5 * time.Second)}},
-			Plans:    []lists.Plan{{Name: "plan", Uses: []lists.Use{{Service: service, Priority: "urgent"}}}},
-		},
-	}
-}
-
 // send sends a call and returns the rule that refused it, or "".
-func send(ctx context.Context, t *testing.T, client *httpclient.Client, to netip.AddrPort, method, path string, header ...string) string {
+func send(ctx context.Context, t *testing.T, to netip.AddrPort, class load.Class) string {
 	t.Helper()
-	r, err := httpclient.NewRequest(ctx, method, "http://"+to.String()+path, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Header.Set("Authorization", "Bearer "+trial.Key(customer))
-	r.Header.Set(caller.HeaderService, service)
-	for i := 0; i < len(header); i += 2 {
-		r.Header.Set(header[i], header[i+1])
-	}
-	answer, err := client.Do(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer answer.Body.Close()
-	return answer.Header.Get(caller.HeaderRule)
+	class.Key, class.Service = trial.Key(customer), service
+	return load.SendOnce(ctx, class, to, "").Rule
 }
 
 func crashesOf(fleet *trial.Fleet) (servers, crashes int) {
@@ -69,13 +41,9 @@
 // waitQuarantined waits until every node has heard of the quarantine.
 func waitQuarantined(t *testing.T, fleet *trial.Fleet) {
 	t.Helper()
-	deadline := time.Now().Add(waitLimit)
 	for _, i := range fleet.Running() {
-		for len(i.Node.Status().Quarantined) == 0 {
-			if time.Now().After(deadline) {
-				t.Fatalf("node %s has not heard of the quarantine", i.Node.ID())
-			}
-			time.Sleep(time.Millisecond)
+		if !wait.Until(t.Context(), waitLimit, func() bool { return len(i.Node.Status().Quarantined) > 0 }) {
+			t.Fatalf("node %s has not heard of the quarantine", i.Node.ID())
 		}
 	}
 }
@@ -85,7 +53,7 @@
 func TestQuarantine(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	fleet, err := trial.Start(ctx, shape())
+	fleet, err := trial.Start(ctx, trial.OneService(service, 4, map[string]lists.Use{customer: {}}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,11 +61,9 @@
 	if err := fleet.WaitReady(ctx, readyLimit); err != nil {
 		t.Fatal(err)
 	}
-	client := httpclient.New("test")
-	t.Cleanup(client.Close)
 	targets := fleet.Targets()
 	poison := func(i int) string {
-		return send(ctx, t, client, targets[i%len(targets)], http.MethodPost, "/poison", backend.HeaderCrash, "1")
+		return send(ctx, t, targets[i%len(targets)], load.Class{Method: http.MethodPost, Path: "/poison", Crash: true})
 	}
 	deadline := time.Now().Add(waitLimit)
 	rule := ""
@@ -106,7 +72,7 @@
 			t.Fatalf("the last refusal was by %q, want quarantined", rule)
 		}
 		rule = poison(i)
-		if got := send(ctx, t, client, targets[i%len(targets)], http.MethodGet, "/innocent"); got == "quarantined" {
+		if send(ctx, t, targets[i%len(targets)], load.Class{Method: http.MethodGet, Path: "/innocent"}) == "quarantined" {
 			t.Fatal("an innocent call is quarantined")
 		}
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -1,7 +1,6 @@
 package follow_test
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,16 +15,17 @@
 
 	"lavenderdeal/core/plans"
 	"lavenderdeal/core/relay"
-	"lavenderdeal/internal/httpserver"
 	"lavenderdeal/internal/node"
 	"lavenderdeal/internal/publish"
 	"lavenderdeal/internal/standin/backend"
 	"lavenderdeal/internal/standin/objectapi"
+	"lavenderdeal/internal/standin/testserver"
 	"lavenderdeal/internal/units"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/platform"
+	"lavenderdeal/io/settings"
 	"lavenderdeal/schema/lists"
 	"lavenderdeal/schema/objects"
-	"lavenderdeal/schema/settings"
 )
 
 const (
@@ -36,8 +36,6 @@
 	pollPause   = 10 * time.Millisecond
 )
 
-var loopback = netip.MustParseAddrPort("127.0.0.1:0")
-
 // fixture is a platform with nodes of several zones, on real sockets.
 type fixture struct {
 	// root ends the nodes; t is the subtest that runs.
@@ -52,11 +50,7 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	store := objectapi.New()
-	server, err := httpserver.Start(loopback, store)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = server.Close() })
+	server := testserver.Start(t, store)
 	client := platform.New(server.Addr())
 	t.Cleanup(client.Close)
 	return &fixture{root: t, t: t, store: store, addr: server.Addr(), write: publish.Store{Objects: client}}
@@ -69,19 +63,8 @@
 func (f *fixture) startWith(zone string, n int, platformAddr netip.AddrPort) {
 	f.t.Helper()
 	for range n {
-		server, err := httpserver.Start(loopback, backend.New(zone, 4))
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		f.root.Cleanup(func() { _ = server.Close() })
-		cfg := settings.Settings{
-			Zone: zone, Region: "sicily", Service: "bookings",
-			Server:   settings.Server{Address: server.Addr(), Slots: 4, Connections: 10, HealthPath: "/health"},
-			Listen:   settings.Listen{Caller: loopback, Peer: loopback, Call: loopback, Operator: loopback},
-			Platform: settings.Platform{Address: platformAddr, Timeout: units.Duration(time.Second)},
-			PeerKey:  "test-peer-key-0123456789",
-			Drain:    settings.Drain{Announce: units.Duration(time.Second), Finish: units.Duration(time.Second)},
-		}
+		server := testserver.Start(f.root, backend.New(zone, 4))
+		cfg := settings.ForLoopback(zone, "bookings", server.Addr(), platformAddr)
 		for _, other := range f.nodes {
 			cfg.Peers = append(cfg.Peers, other.Addresses().Peer)
 		}
@@ -136,18 +119,13 @@
 
 func (f *fixture) waitFor(within time.Duration, what string, holds func() bool) {
 	f.t.Helper()
-	ctx, cancel := context.WithTimeout(f.t.Context(), within)
-	defer cancel()
-	for !holds() {
-		select {
-		case <-time.After(pollPause):
-		case <-ctx.Done():
-			for _, n := range f.nodes {
-				f.t.Logf("%+v %s", n.Status(), n.Metrics().Map())
-			}
-			f.t.Fatalf("%s: not within %s", what, within)
-		}
+	if wait.Until(f.t.Context(), within, holds) {
+		return
+	}
+	for _, n := range f.nodes {
+		f.t.Logf("%+v %s", n.Status(), n.Metrics().Map())
 	}
+	f.t.Fatalf("%s: not within %s", what, within)
 }
 
 // waitMembers waits until all nodes know all others.
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -72,6 +72,8 @@
 	// Keyed calls carry an Idempotency-Key and are sent again while the outcome
 	// is not known.
 	Keyed bool
+	// Crash makes the stand-in server end while it works on the call.
+	Crash bool
 	// Direct calls go to backend servers without a node in between.
 	Direct bool
 }
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -110,6 +110,9 @@
 	if s.class.Work > 0 {
 		r.Header.Set(backend.HeaderWork, s.class.Work.String())
 	}
+	if s.class.Crash {
+		r.Header.Set(backend.HeaderCrash, "1")
+	}
 	if s.class.Timeout > 0 {
 		r.Header.Set(caller.HeaderTimeout, s.class.Timeout.String())
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -12,17 +12,18 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
-	"go.uber.org/goleak"
 	"golang.org/x/sync/errgroup"
 
 	"lavenderdeal/core/explain"
 	"lavenderdeal/core/fleet"
-	"lavenderdeal/internal/httpserver"
 	"lavenderdeal/internal/inforce"
 	"lavenderdeal/internal/membership"
 	"lavenderdeal/internal/metrics"
+	"lavenderdeal/internal/proptest"
 	"lavenderdeal/internal/secret"
 	"lavenderdeal/internal/standin/objectapi"
+	"lavenderdeal/internal/standin/testserver"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/peer"
 	"lavenderdeal/io/platform"
 	"lavenderdeal/schema/messages"
@@ -36,14 +37,7 @@
 	findLimit = 30 * time.Second
 )
 
-// TestMain finds goroutines that outlive their nodes. Those that go-zero starts
-// when it is loaded stay as long as the process.
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m,
-		goleak.IgnoreTopFunction("github.com/zeromicro/go-zero/core/proc.init.1.func1"),
-		goleak.IgnoreTopFunction("github.com/zeromicro/go-zero/core/stat.init.1.func1"),
-	)
-}
+func TestMain(m *testing.M) { proptest.LeakMain(m) }
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
@@ -69,12 +63,7 @@
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	b := &bench{t: t, store: objectapi.New()}
-	server, err := httpserver.Start(loopback, b.store)
-	if err != nil {
-		t.Fatal(err)
-	}
-	b.addr = server.Addr()
-	t.Cleanup(func() { _ = server.Close() })
+	b.addr = testserver.Start(t, b.store).Addr()
 	t.Cleanup(func() {
 		for _, n := range b.nodes {
 			n.stop()
@@ -127,10 +116,8 @@
 
 func (b *bench) waitFor(limit time.Duration, what string, holds func() bool) {
 	b.t.Helper()
-	for end := time.Now().Add(limit); !holds(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			b.t.Fatalf("no %s after %s", what, limit)
-		}
+	if !wait.Until(b.t.Context(), limit, holds) {
+		b.t.Fatalf("no %s after %s", what, limit)
 	}
 }
 
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -17,9 +17,12 @@
 	"lavenderdeal/internal/publish"
 	"lavenderdeal/internal/standin/backend"
 	"lavenderdeal/internal/standin/objectapi"
+	"lavenderdeal/internal/standin/testserver"
 	"lavenderdeal/internal/units"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/caller"
 	"lavenderdeal/io/platform"
+	iosettings "lavenderdeal/io/settings"
 	"lavenderdeal/schema/lists"
 	"lavenderdeal/schema/settings"
 )
@@ -48,7 +51,7 @@
 func startFleet(t *testing.T, bookings int) *testFleet {
 	t.Helper()
 	f := &testFleet{store: objectapi.New()}
-	store := startServer(t, f.store).Addr()
+	store := testserver.Start(t, f.store).Addr()
 	f.storeAddr = store
 	publisher := publish.Store{Objects: platform.New(store)}
 	if _, err := publisher.Apply(context.Background(), publish.Current{}, testCustomers(), testPlans(), publish.Change{Author: "test"}); err != nil {
@@ -61,7 +64,7 @@
 		}
 		server := backend.New(fmt.Sprint(service, i), 64)
 		f.servers = append(f.servers, server)
-		listener := startServer(t, server)
+		listener := testserver.Start(t, server)
 		f.listeners = append(f.listeners, listener)
 		f.nodes = append(f.nodes, startNode(t, testSettings(service, listener.Addr(), store)))
 	}
@@ -95,24 +98,10 @@
 	return n
 }
 
-func startServer(t *testing.T, handler http.Handler) *httpserver.Server {
-	t.Helper()
-	s, err := httpserver.Start(loopback, handler)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = s.Close() })
-	return s
-}
-
 func waitFor(t *testing.T, what string, done func() bool) {
 	t.Helper()
-	deadline := time.Now().Add(readyLimit)
-	for !done() {
-		if time.Now().After(deadline) {
-			t.Fatalf("not within %v: %s", readyLimit, what)
-		}
-		time.Sleep(pollPause)
+	if !wait.Until(t.Context(), readyLimit, done) {
+		t.Fatalf("not within %v: %s", readyLimit, what)
 	}
 }
 
@@ -226,14 +215,9 @@
 }
 
 func testSettings(service string, server, store netip.AddrPort) settings.Settings {
-	return settings.Settings{
-		Zone: "catania", Region: "sicily", Service: service,
-		Server:   settings.Server{Address: server, Slots: 64, Connections: 120, HealthPath: "/health"},
-		Listen:   settings.Listen{Caller: loopback, Peer: loopback, Call: loopback, Operator: loopback},
-		Platform: settings.Platform{Address: store, Timeout: units.Duration(2 * time.Second)},
-		PeerKey:  "test-peer-key-0123456789",
-		Drain:    settings.Drain{Announce: units.Duration(3 * time.Second), Finish: units.Duration(time.Minute)},
-	}
+	cfg := iosettings.ForLoopback("catania", service, server, store)
+	cfg.Server.Slots, cfg.Server.Connections = 64, 120
+	return cfg
 }
 
 func testCustomers() lists.CustomerList {
--- a/internal/proptest/proptest.go
+++ b/internal/proptest/proptest.go
@@ -15,6 +15,8 @@
 	"os"
 	"testing"
 
+	"go.uber.org/goleak"
+
 	// Its flags must be registered before they are set.
 	_ "pgregory.net/rapid"
 )
@@ -23,11 +25,25 @@
 
 // Main runs the tests of a package and ends the process.
 func Main(m *testing.M) {
+	fixSeed()
+	os.Exit(m.Run())
+}
+
+// LeakMain is like Main and fails when goroutines outlive the tests. Those that
+// go-zero starts when it is loaded stay as long as the process.
+func LeakMain(m *testing.M) {
+	fixSeed()
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreTopFunction("github.com/zeromicro/go-zero/core/proc.init.1.func1"),
+		goleak.IgnoreTopFunction("github.com/zeromicro/go-zero/core/stat.init.1.func1"),
+	)
+}
+
+func fixSeed() {
 	flag.Parse()
 	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
 		if err := f.Value.Set(seed); err != nil {
 			panic(err)
 		}
 	}
-	os.Exit(m.Run())
 }
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -15,9 +14,9 @@
 
 	"lavenderdeal/core/collect"
 	"lavenderdeal/core/plans"
-	"lavenderdeal/internal/httpserver"
 	"lavenderdeal/internal/publish"
 	"lavenderdeal/internal/standin/objectapi"
+	"lavenderdeal/internal/standin/testserver"
 	"lavenderdeal/internal/units"
 	"lavenderdeal/io/platform"
 	"lavenderdeal/schema/lists"
@@ -36,15 +35,8 @@
 func start(t *testing.T) (*objectapi.Store, publish.Store) {
 	t.Helper()
 	store := objectapi.New()
-	server, err := httpserver.Start(netip.MustParseAddrPort("127.0.0.1:0"), store)
-	if err != nil {
-		t.Fatal(err)
-	}
-	client := platform.New(server.Addr())
-	t.Cleanup(func() {
-		client.Close()
-		_ = server.Close()
-	})
+	client := platform.New(testserver.Start(t, store).Addr())
+	t.Cleanup(client.Close)
 	return store, publish.Store{Objects: client}
 }
 
--- a/internal/trial/shapes.go
+++ b/internal/trial/shapes.go
@@ -101,6 +101,25 @@
 	return shape
 }
 
+// OneService is one zone with a number of servers of one service, and a customer
+// of a plan of its own for each use, by the customer's name.
+func OneService(service string, servers int, uses map[string]lists.Use) Shape {
+	shape := Shape{
+		Name:     "one-service",
+		Zones:    []Zone{{"catania", "sicily"}},
+		Services: []Service{{Name: service, ServersPerZone: []int{servers}, Slots: 8, Connections: 40}},
+		Plans:    lists.PlanList{Services: services(service)},
+	}
+	var pairs []string
+	for customer, use := range uses {
+		use.Service, use.Priority = service, "urgent"
+		shape.Plans.Plans = append(shape.Plans.Plans, lists.Plan{Name: customer, Uses: []lists.Use{use}})
+		pairs = append(pairs, customer+":"+customer)
+	}
+	shape.Customers = Customers(pairs...)
+	return shape
+}
+
 // Key returns the key by which a customer of a trial is known.
 func Key(customer string) string { return customer + "-key" }
 
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -24,22 +24,18 @@
 	"lavenderdeal/internal/standin/backend"
 	"lavenderdeal/internal/standin/cuts"
 	"lavenderdeal/internal/standin/objectapi"
-	"lavenderdeal/internal/units"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/platform"
+	"lavenderdeal/io/settings"
 	"lavenderdeal/schema/lists"
 	"lavenderdeal/schema/objects"
-	"lavenderdeal/schema/settings"
+	schema "lavenderdeal/schema/settings"
 )
 
 const (
-	pollPeriod      = 5 * time.Millisecond
-	platformTimeout = 2 * time.Second
 	// crashTime is how long a backend server is down after a crash.
-	crashTime     = 200 * time.Millisecond
-	drainAnnounce = 3 * time.Second
-	drainFinish   = 60 * time.Second
-	seedsPerZone  = 2
-	peerKey       = "trial-peer-key-0123456789"
+	crashTime    = 200 * time.Millisecond
+	seedsPerZone = 2
 )
 
 // Ports of an instance, counted from the first port of its fleet. An instance
@@ -105,7 +101,7 @@
 	Server *backend.Server
 	// Zone is the number of the zone, from 1.
 	Zone   int
-	Config settings.Settings
+	Config schema.Settings
 
 	process *backend.Process
 	running bool
@@ -166,17 +162,13 @@
 		return nil, err
 	}
 	i.Server, i.process = server, process
-	i.Config = settings.Settings{
-		Zone: z.Name, Region: z.Region, Service: service.Name,
-		Server: settings.Server{Address: process.Addr(), Slots: service.Slots, Connections: service.Connections, HealthPath: "/health"},
-		Listen: settings.Listen{
-			Caller: f.at(addr, callerPort), Peer: f.at(addr, peerPort), Call: f.at(addr, callPort), Operator: f.at(addr, operatorPort),
-		},
-		Peers:    f.seeds(zone),
-		Platform: settings.Platform{Address: f.platform.Addr(), Timeout: units.Duration(platformTimeout)},
-		PeerKey:  peerKey,
-		Drain:    settings.Drain{Announce: units.Duration(drainAnnounce), Finish: units.Duration(drainFinish)},
+	cfg := settings.ForLoopback(z.Name, service.Name, process.Addr(), f.platform.Addr())
+	cfg.Region, cfg.Peers = z.Region, f.seeds(zone)
+	cfg.Server.Slots, cfg.Server.Connections = service.Slots, service.Connections
+	cfg.Listen = schema.Listen{
+		Caller: f.at(addr, callerPort), Peer: f.at(addr, peerPort), Call: f.at(addr, callPort), Operator: f.at(addr, operatorPort),
 	}
+	i.Config = cfg
 	return i, f.StartNode(i)
 }
 
@@ -308,12 +300,8 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for _, i := range instances {
-		for !holds(i) {
-			select {
-			case <-time.After(pollPeriod):
-			case <-ctx.Done():
-				return errors.Newf("node %s in %s after %s: %+v", i.Node.Status().ID, i.Config.Zone, limit, i.Node.Status())
-			}
+		if !wait.Until(ctx, limit, func() bool { return holds(i) }) {
+			return errors.Newf("node %s in %s after %s: %+v", i.Node.Status().ID, i.Config.Zone, limit, i.Node.Status())
 		}
 	}
 	return nil
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -21,3 +21,19 @@
 		return false
 	}
 }
+
+// pollPeriod is how often Until looks.
+const pollPeriod = 5 * time.Millisecond
+
+// Until waits until a condition holds and returns false when the limit passed or
+// ctx ended first.
+func Until(ctx context.Context, limit time.Duration, holds func() bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for !holds() {
+		if !For(ctx, pollPeriod) {
+			return false
+		}
+	}
+	return true
+}
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -12,14 +12,15 @@
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
+	"lavenderdeal/internal/proptest"
+	"lavenderdeal/internal/wait"
 
 	"lavenderdeal/internal/secret"
 	"lavenderdeal/io/peer"
 	"lavenderdeal/schema/messages"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) { proptest.LeakMain(m) }
 
 const (
 	keyText = "peer-test-key-0123456789"
@@ -203,10 +204,8 @@
 
 func waitFor(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	for end := time.Now().Add(limit); !holds(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("no %s after %s", what, limit)
-		}
+	if !wait.Until(t.Context(), limit, holds) {
+		t.Fatalf("no %s after %s", what, limit)
 	}
 }
 
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -14,8 +14,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavenderdeal/core/verdict"
-	"lavenderdeal/internal/httpserver"
 	"lavenderdeal/internal/standin/objectapi"
+	"lavenderdeal/internal/standin/testserver"
 	"lavenderdeal/io/platform"
 )
 
@@ -24,15 +24,8 @@
 // serve starts a platform and returns a client of it.
 func serve(t *testing.T, handler http.Handler, opts ...platform.Option) *platform.Client {
 	t.Helper()
-	server, err := httpserver.Start(netip.MustParseAddrPort("127.0.0.1:0"), handler)
-	if err != nil {
-		t.Fatal(err)
-	}
-	client := platform.New(server.Addr(), opts...)
-	t.Cleanup(func() {
-		client.Close()
-		_ = server.Close()
-	})
+	client := platform.New(testserver.Start(t, handler).Addr(), opts...)
+	t.Cleanup(client.Close)
 	return client
 }
 
@@ -279,11 +272,7 @@
 		}
 	})
 	t.Run("write without a condition", func(t *testing.T) {
-		server, err := httpserver.Start(netip.MustParseAddrPort("127.0.0.1:0"), objectapi.New())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer server.Close()
+		server := testserver.Start(t, objectapi.New())
 		r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+server.Addr().String()+"/v1/objects/a", strings.NewReader("1"))
 		if err != nil {
 			t.Fatal(err)
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -7,7 +7,11 @@
 package settings
 
 import (
+	"net/netip"
+	"time"
+
 	"lavenderdeal/internal/border"
+	"lavenderdeal/internal/units"
 	schema "lavenderdeal/schema/settings"
 )
 
@@ -33,3 +37,17 @@
 	}
 	return cfg
 }
+
+// ForLoopback returns the settings of a node for trials on loopback: every
+// listener takes any free port, and what is not given has its default.
+func ForLoopback(zone, service string, server, platform netip.AddrPort) schema.Settings {
+	free := netip.MustParseAddrPort("127.0.0.1:0")
+	return schema.Settings{
+		Zone: zone, Region: "default", Service: service,
+		Server:   schema.Server{Address: server, Slots: 4, Connections: 10, HealthPath: "/health"},
+		Listen:   schema.Listen{Caller: free, Peer: free, Call: free, Operator: free},
+		Platform: schema.Platform{Address: platform, Timeout: units.Duration(2 * time.Second)},
+		PeerKey:  "loopback-peer-key-0123456789",
+		Drain:    schema.Drain{Announce: units.Duration(3 * time.Second), Finish: units.Duration(time.Minute)},
+	}
+}
