--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -58,7 +58,8 @@
 	homes   *homes.Loop
 	leaving atomic.Bool
 
-	ring *explain.Ring
+	ring      *explain.Ring
+	readiness Readiness
 
 	// mu guards chooser and budget and is never held during a call.
 	mu      sync.Mutex
@@ -72,6 +73,15 @@
 // WithRing sets where the entry explains which servers it left out.
 func WithRing(ring *explain.Ring) EntryOption { return func(e *Entry) { e.ring = ring } }
 
+// Readiness says from where a node knows its version, or why it has none yet.
+type Readiness interface {
+	Ready() (source string, ok bool)
+}
+
+// WithReadiness sets who knows why the node has no version yet. Without it
+// refusals give no reason.
+func WithReadiness(r Readiness) EntryOption { return func(e *Entry) { e.readiness = r } }
+
 // NewEntry returns an entry.
 func NewEntry(held *inforce.Plans, view *atomic.Pointer[fleet.View], runner *Runner, peers *peercall.Client, key secret.Key, m *metrics.Set, opts ...EntryOption) *Entry {
 	e := &Entry{plans: held, view: view, runner: runner, peers: peers, key: key, metrics: m, homes: runner.homes}
@@ -142,12 +152,21 @@
 	caller.Refuse(w, v, id)
 }
 
+func (e *Entry) notReady() error {
+	detail := "this node has no version of the plans yet"
+	if e.readiness != nil {
+		reason, _ := e.readiness.Ready()
+		detail += ": " + reason
+	}
+	return verdict.RefuseFor("notReady", detail, time.Second)
+}
+
 // decide finds out who is calling and what the plan allows.
 func (e *Entry) decide(ctx context.Context, request caller.Request, r *http.Request) (messages.Call, error) {
 	wanted := plans.Request{Key: request.Key, Service: request.Service, Method: r.Method, Path: r.URL.Path}
 	version := e.plans.Get()
 	if version == nil {
-		return messages.Call{Id: request.ID}, verdict.RefuseFor("notReady", "this node has no version of the plans yet", time.Second)
+		return messages.Call{Id: request.ID}, e.notReady()
 	}
 	call := messages.Call{Id: request.ID, Service: request.Service, Key: request.IdempotencyKey}
 	var decision plans.Decision
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -288,7 +288,7 @@
 		alone.waitFor(startWithin, "the reason", func() bool {
 			return alone.nodes[0].Status().VersionSource == "the platform is out and no ready peer answers"
 		})
-		assertRefused(t, alone.nodes[0], "notReady")
+		assertRefused(t, alone.nodes[0], "notReady", "the platform is out and no ready peer answers")
 	})
 	t.Run("a change after the outage is in force everywhere", func(t *testing.T) {
 		f.t = t
@@ -297,7 +297,7 @@
 	})
 }
 
-func assertRefused(t *testing.T, n *node.Node, rule string) {
+func assertRefused(t *testing.T, n *node.Node, rule, reason string) {
 	t.Helper()
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+n.Addresses().Caller.String()+"/", nil)
 	if err != nil {
@@ -314,7 +314,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if answer.StatusCode < http.StatusBadRequest || !strings.Contains(string(body), rule) || !strings.Contains(string(body), "notRun") {
-		t.Fatalf("got status %d %s, want a refusal by %s that says notRun", answer.StatusCode, body, rule)
+	if answer.StatusCode < http.StatusBadRequest || !strings.Contains(string(body), rule) || !strings.Contains(string(body), "notRun") || !strings.Contains(string(body), reason) {
+		t.Fatalf("got status %d %s, want a refusal by %s that says notRun and %q", answer.StatusCode, body, rule, reason)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,7 +168,7 @@
 	n.watch.Handle(&mux)
 	n.runner = calls.NewRunner(&n.plans, serverClient, n.cfg.Server.Slots, key, n.metrics,
 		calls.WithFleet(&n.view), calls.WithHomes(n.homes, &n.records), calls.WithCrashes(n.watch))
-	n.entry = calls.NewEntry(&n.plans, &n.view, n.runner, peerClient, key, n.metrics, calls.WithRing(n.ring))
+	n.entry = calls.NewEntry(&n.plans, &n.view, n.runner, peerClient, key, n.metrics, calls.WithRing(n.ring), calls.WithReadiness(n.follower))
 
 	var err error
 	if n.callServer, err = httpserver.Start(n.cfg.Listen.Call, n.runner); err != nil {
