measure: compare hops with forwarders that decide nothing

Two forwarders stand where two nodes do, in the same run: they tell what one more connection costs from what the nodes cost.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -22,19 +22,22 @@
 
 // The size that decides, from the users' letter.
 const (
-	nodes         = 3800.0
-	zones         = 24.0
-	callsASecond  = 230000.0
-	changesADay   = 3200.0
-	restartsADay  = 549.0
-	daySeconds    = 86400.0
-	zoneSize      = nodes / zones
-	readsASecond  = 2000.0
-	writesASecond = 300.0
-	bytesLimit    = 8000.0
-	coreLimit     = 2.6
-	memoryLimit   = 256.0
-	kilobyte      = 1000.0
+	nodes        = 3800.0
+	zones        = 24.0
+	services     = 500.0
+	callsASecond = 230000.0
+	changesADay  = 3200.0
+	restartsADay = 549.0
+	daySeconds   = 86400.0
+	// homeReadSeconds is how often a service reads the homes of its keys.
+	homeReadSeconds = 10.0
+	zoneSize        = nodes / zones
+	readsASecond    = 2000.0
+	writesASecond   = 300.0
+	bytesLimit      = 8000.0
+	coreLimit       = 2.6
+	memoryLimit     = 256.0
+	kilobyte        = 1000.0
 )
 
 // Figures are the figures of all measures, by "measure.figure".
@@ -100,7 +103,10 @@
 	bytes := idle + changes*perChange + restarts*perRestart
 	busiest := c.atLetter("busiestIdleBytes") + changes*c.atLetter("busiestBytesPerChange") + restarts*perRestart
 	core := c.atLetter("idleCore") + changes*c.atLetter("corePerChange") + restarts*c.atLetter("corePerRestart")
-	calls := c.atLetter("platformCallsIdle") + changes*c.atLetter("platformCallsPerChange")
+	// One node of each service reads the homes of its keys. The straight lines do
+	// not see that services grow with the product of zones and their size.
+	homeReads := services / homeReadSeconds
+	calls := c.atLetter("platformCallsIdle") + changes*c.atLetter("platformCallsPerChange") + homeReads
 	heap := c.get("memory.letter")
 	callCore := 100 * callsASecond / nodes * c.get("hop.cpuPerCall") / 2 / 1e6
 
@@ -110,7 +116,7 @@
 	t.row("zone reader, representative, status writer, all in one", count(2*zones), "as above, and the confirmations of its zone", "as above; heads to other zones, digests of the zones, reports of its zone",
 		limited(busiest, bytesLimit, "B/s"), limited(core, coreLimit, "%")+" on average", limited(heap, memoryLimit, "MB"), fmt.Sprintf("%.3g/s each", calls/(2*zones)))
 	t.row("home of keys", count(nodes), "records of 10 minutes, 32 MB of answers at most", "none beyond the call itself",
-		"0 B/s in a quiet roster", "in the call", "at most 32 MB of the limit", fmt.Sprintf("%.2g/s in all, one write a restart", restarts))
+		"0 B/s in a quiet roster", "in the call", "at most 32 MB of the limit", fmt.Sprintf("%.3g reads/s in all, and %.2g writes/s, one for each restart", homeReads, restarts))
 	t.row("call path", count(nodes), "one queue for each server", fmt.Sprintf("%.0f calls/s a node", callsASecond/nodes),
 		"the calls themselves", fmt.Sprintf("%.2g %% of a core, not control", callCore), "32 KB a call that streams", "none")
 	t.row("command line", "one a change", "both lists", "none", "none", "in its own process", "in its own process", fmt.Sprintf("%.2g a change", c.get("control.letter.platformCallsPerChange")))
--- a/internal/measure/hop.go
+++ b/internal/measure/hop.go
@@ -10,7 +10,10 @@
 	"github.com/cockroachdb/errors"
 
 	"lavenderdeal/internal/httpclient"
+	"lavenderdeal/internal/httpserver"
 	"lavenderdeal/internal/load"
+	"lavenderdeal/internal/standin/cuts"
+	"lavenderdeal/internal/standin/forwarder"
 	"lavenderdeal/internal/trial"
 )
 
@@ -39,9 +42,15 @@
 	}
 	direct := class
 	direct.Name, direct.Direct = "direct", true
-	var through, straight []*load.ClassReport
+	bare, closeBare, err := startForwarders(server.Config.Server.Address)
+	if err != nil {
+		return err
+	}
+	defer closeBare()
+	var through, straight, forwarded []*load.ClassReport
 	for range hopRounds {
 		d := r.scaled(hopDuration / hopRounds * 2)
+		forwarded = append(forwarded, r.hopRound(ctx, fleet, direct, bare, d))
 		straight = append(straight, r.hopRound(ctx, fleet, direct, server.Config.Server.Address, d))
 		through = append(through, r.hopRound(ctx, fleet, class, entry.Node.Addresses().Caller, d))
 	}
@@ -49,13 +58,32 @@
 	nodesP50, nodesP99 := medianQuantile(through, 50), medianQuantile(through, 99)
 	r.figure("direct.p50", directP50, "ms")
 	r.figure("direct.p99", directP99, "ms")
+	r.figure("forwarders.p50", medianQuantile(forwarded, 50), "ms")
+	r.figure("forwarders.p99", medianQuantile(forwarded, 99), "ms")
 	r.figure("nodes.p50", nodesP50, "ms")
 	r.figure("nodes.p99", nodesP99, "ms")
 	r.figure("added.p50", nodesP50-directP50, "ms")
 	r.atMost("added.p99", nodesP99-directP99, "ms", millis(hopTarget))
+	r.figure("addedToForwarders.p50", nodesP50-medianQuantile(forwarded, 50), "ms")
+	r.figure("addedToForwarders.p99", nodesP99-medianQuantile(forwarded, 99), "ms")
 	return r.hopCost(ctx, fleet, class, direct)
 }
 
+// startForwarders puts two forwarders that decide nothing before a server, as
+// many connections as two nodes make.
+func startForwarders(server netip.AddrPort) (first netip.AddrPort, closeAll func(), err error) {
+	inner, err := httpserver.Start(cuts.Addr(cuts.Platform, 1), forwarder.New(server))
+	if err != nil {
+		return first, nil, err
+	}
+	outer, err := httpserver.Start(cuts.Addr(cuts.Platform, 2), forwarder.New(inner.Addr()))
+	if err != nil {
+		_ = inner.Close()
+		return first, nil, err
+	}
+	return outer.Addr(), func() { _, _ = outer.Close(), inner.Close() }, nil
+}
+
 // hopShape is a node without a server of the called service and one with it, so
 // that every call takes two nodes.
 func hopShape() trial.Shape {
