--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -115,11 +115,11 @@
 		limited(bytes, bytesLimit, "B/s"), limited(core, coreLimit, "%"), limited(heap, memoryLimit, "MB"), "none")
 	t.row("zone reader, representative, status writer, all in one", count(2*zones), "as above, and the confirmations of its zone", "as above; heads to other zones, digests of the zones, reports of its zone",
 		limited(busiest, bytesLimit, "B/s"), limited(core, coreLimit, "%")+" on average", limited(heap, memoryLimit, "MB"), fmt.Sprintf("%.3g/s each", calls/(2*zones)))
-	t.row("home of keys", count(nodes), "records of 10 minutes, 32 MB of answers at most", "none beyond the call itself",
-		"0 B/s in a quiet roster", "in the call", "at most 32 MB of the limit", fmt.Sprintf("%.3g reads/s in all, and %.2g writes/s, one for each restart", homeReads, restarts))
+	t.row("home of keys", count(nodes), "records of 10 minutes, 32 MB of answers at most", "asks the 7.6 nodes of its service every 2.5 s",
+		"in the ordinary node's", "in the call", "at most 32 MB of the limit", fmt.Sprintf("%.3g reads/s in all, and %.2g writes/s, one for each restart", homeReads, restarts))
 	t.row("call path", count(nodes), "one queue for each server", fmt.Sprintf("%.0f calls/s a node", callsASecond/nodes),
 		"the calls themselves", fmt.Sprintf("%.2g %% of a core, not control", callCore), "32 KB a call that streams", "none")
-	t.row("command line", "one a change", "both lists", "none", "none", "in its own process", "in its own process", fmt.Sprintf("%.2g a change", c.get("control.letter.platformCallsPerChange")))
+	t.row("command line", "one a change", "both lists", "none", "none", "in its own process", "in its own process", fmt.Sprintf("%.3g a change, the readers' and status writers' included", c.get("control.letter.platformCallsPerChange")))
 	t.row("platform", "1", "head, chunks, history, status, peers, homes", "none", "none", "not ours", "not ours", limited(calls, readsASecond, "calls/s"))
 	return "### Roles on an ordinary day\n\n" + t.String()
 }
@@ -161,7 +161,7 @@
 		fmt.Sprintf("%.4g platform calls, if they grow with the zones; at %.0f/s in %.3g s", callsAtLetter, readsASecond, callsAtLetter/readsASecond),
 		"2,000 reads/s", "only readers ask the platform; full jitter; joins served at once are bounded")
 	t.row("a zone is lost", fmt.Sprintf("%s B a node for one restart", number(c.atLetter("bytesPerRestart"))),
-		fmt.Sprintf("%.3g KB a node if each of %.0f members were told one by one; a zone that is cut off is marked as one thing and needs none", zoneBytes/kilobyte, zoneSize),
+		fmt.Sprintf("at most %.0f KB a node in all if each of %.0f members were lost and replaced one by one; a zone that is cut off is marked as one thing and needs none", zoneBytes/kilobyte, zoneSize),
 		"8 KB/s", "a zone is marked cut off as one; members are kept")
 	t.row("regions apart for minutes, then healed", fmt.Sprintf("in force %.3g ms after the healing", partition),
 		"the same: a head and the chunks that differ, once a zone", "4 s", "digests are compared, only differences move")
