platform: send a read again when its connection breaks

The platform had closed an idle connection just when it was used again, and the client sends nothing twice by itself. Ruled out: the sealing of connections, whose error names no addresses. Change: a read without an answer is sent once more; writes are not. The test closes the connection of each second request; without the change it fails.

--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -39,9 +39,10 @@
 	MaxValue       = 1 << 20
 	defaultTimeout = 2 * time.Second
 	// watchGrace is how much longer than asked a watch may take to answer.
-	watchGrace     = 2 * time.Second
-	maxConnections = 8
-	keyPath        = "/v1/objects/"
+	watchGrace      = 2 * time.Second
+	maxConnections  = 8
+	ruleUnreachable = "platformUnreachable"
+	keyPath         = "/v1/objects/"
 	// maxAnswer bounds an answer; a page of a listing has up to 1000 keys.
 	maxAnswer = 2 * MaxValue
 	// headerNext names the key after which the next page of a listing begins.
@@ -241,6 +242,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	r, err := c.once(ctx, method, url, value, after)
+	if method == http.MethodGet && isUnreachable(err) && ctx.Err() == nil {
+		// The platform may close an idle connection just when it is used again. A
+		// read has no effect, so it is sent once more.
+		r, err = c.once(ctx, method, url, value, after)
+	}
+	return r, err
+}
+
+// once sends a request once.
+func (c *Client) once(ctx context.Context, method, url string, value []byte, after *Revision) (response, error) {
 	request, err := httpclient.NewRequest(ctx, method, url, bytes.NewReader(value))
 	if err != nil {
 		return response{}, verdict.Refuse("badRequest", err.Error())
@@ -271,6 +283,11 @@
 	return response{status: answer.StatusCode, header: answer.Header, body: body}, nil
 }
 
+// isUnreachable says whether a request got no answer at all.
+func isUnreachable(err error) bool {
+	return err != nil && verdict.Rule(verdict.Of(err)) == ruleUnreachable
+}
+
 // writeError returns what a platform that answered a write said against it.
 func writeError(r response, key string, after Revision) error {
 	switch r.status {
@@ -322,9 +339,9 @@
 func unreachable(method string, err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return verdict.Refuse("platformUnreachable", method+": "+err.Error())
+		return verdict.Refuse(ruleUnreachable, method+": "+err.Error())
 	}
-	return verdict.Unknown("platformUnreachable", method, err)
+	return verdict.Unknown(ruleUnreachable, method, err)
 }
 
 // broken says that an answer came that cannot be used.
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -333,3 +334,21 @@
 		t.Errorf("error %v, want mayHaveRun", err)
 	}
 }
+
+// TestReadOnBrokenConnection breaks the connection of each second request, as a
+// platform does that closes idle connections.
+func TestReadOnBrokenConnection(t *testing.T) {
+	store := objectapi.New()
+	var requests atomic.Int64
+	c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1)%2 == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		store.ServeHTTP(w, r)
+	}))
+	put(t, c, "a", "1", 0)
+	object, err := c.Get(t.Context(), "a")
+	if err != nil || string(object.Value) != "1" || requests.Load() != 3 {
+		t.Errorf("object %q, error %v after %d requests, want the read to be sent again", object.Value, err, requests.Load())
+	}
+}
