cmd: processes that a subtest starts live on after it

The subtest before killed a node and started it again, but the new process was tied to that subtest and ended with it, so the stop ran with one home of two dead; a refusal by homeLost is no call cut off. Processes now end with the whole test, and the planned stop comes before the kill, so that any mayHaveRun in it still fails the test.

--- a/cmd/lavenderdeal/process_test.go
+++ b/cmd/lavenderdeal/process_test.go
@@ -57,6 +57,19 @@
 			fleet.nodes[3].signal(t, syscall.SIGCONT)
 		})
 	})
+	t.Run("a planned stop cuts nothing off", func(t *testing.T) {
+		report := fleet.assertCalls(t, 8*time.Second, func() {
+			fleet.nodes[2].signal(t, syscall.SIGTERM)
+			fleet.nodes[2].wait(t)
+		})
+		for name, c := range report.Classes {
+			if n := c.Verdicts["mayHaveRun"] + c.Verdicts["broken"]; n > 0 {
+				t.Errorf("%s: %d of %d calls were cut off: %v %v", name, n, c.Sent, c.Verdicts, c.Rules)
+			}
+		}
+		fleet.startNode(t, 2)
+		fleet.waitReady(t)
+	})
 	t.Run("a killed node", func(t *testing.T) {
 		fleet.assertCalls(t, 3*time.Second, func() {
 			fleet.nodes[3].signal(t, syscall.SIGKILL)
@@ -69,17 +82,6 @@
 		fleet.assertCalls(t, 2*time.Second, func() { fleet.steer(t, downPath) })
 		fleet.steer(t, upPath)
 	})
-	t.Run("a planned stop cuts nothing off", func(t *testing.T) {
-		report := fleet.assertCalls(t, 8*time.Second, func() {
-			fleet.nodes[2].signal(t, syscall.SIGTERM)
-			fleet.nodes[2].wait(t)
-		})
-		for name, c := range report.Classes {
-			if n := c.Verdicts["mayHaveRun"] + c.Verdicts["broken"]; n > 0 {
-				t.Errorf("%s: %d of %d calls were cut off: %v %v", name, n, c.Sent, c.Verdicts, c.Rules)
-			}
-		}
-	})
 }
 
 // process is one running process of the program.
@@ -91,6 +93,8 @@
 // processFleet is a platform, four backend servers and their nodes in two
 // zones.
 type processFleet struct {
+	// root ends the processes, also those that a subtest starts.
+	root      *testing.T
 	directory string
 	platform  *process
 	servers   []*process
@@ -99,7 +103,7 @@
 
 func startFleet(t *testing.T) *processFleet {
 	t.Helper()
-	f := &processFleet{directory: t.TempDir()}
+	f := &processFleet{root: t, directory: t.TempDir()}
 	f.platform = startProcess(t, true, "standin", "platform", "--listen", "127.0.0.1:0")
 	examples := filepath.Join("..", "..", "examples", "coni")
 	apply := command(t.Context(), "plans", "apply", "--platform", f.platform.first,
@@ -136,7 +140,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	f.nodes[i] = startProcess(t, false, "node", "--config", file)
+	f.nodes[i] = startProcess(f.root, false, "node", "--config", file)
 }
 
 // addr returns an address of a node. Two runs of the test at once do not share
