--- /dev/null
+++ b/core/pick/pick.go
@@ -0,0 +1,203 @@
+// Package pick chooses the node whose backend server gets a request.
+//
+// # Picker
+//
+// A [Picker] keeps, for each node, the load that its answers brought back and
+// what was sent since:
+//
+//	var p pick.Picker
+//	entry, ok := p.Pick(now, ready, pick.Request{Zone: "catania", Class: "stock"})
+//	p.Sent(now, entry)
+//	p.Answered(now, entry, load)
+//
+// # Score
+//
+// The node with the lowest score wins: its expected number of requests relative
+// to its slots, and a surcharge for another availability zone, for a server that
+// fails requests, and for one that is too slow to answer in time. So a request
+// stays in its zone while there is room, and a broken server gets only what the
+// others cannot take. Nodes that cannot be reached are left out for a while.
+package pick
+
+import (
+	"slices"
+	"time"
+
+	messages "lavenderdeal/schema/roster"
+)
+
+const (
+	// fadeTime is the age at which a reported load says nothing any more.
+	fadeTime = 1 * time.Second
+	// zoneCharge is the score of leaving the zone: about a third of a server's
+	// slots.
+	zoneCharge = 0.35
+	// byteCharge is added to zoneCharge for each megabyte that would leave the
+	// zone.
+	byteCharge = 20.0
+	// failCharge is the score of a server that fails all requests.
+	failCharge = 2.0
+	// lateCharge is the score of a server that is too slow for the target.
+	lateCharge = 0.8
+	// spread is the part of the score that is left to chance, so that nodes with
+	// the same view do not all pick the same server.
+	spread = 0.08
+	// firstOut and longestOut bound the time that an unreachable node is left
+	// out; it doubles with each failure in a row.
+	firstOut   = 300 * time.Millisecond
+	longestOut = 4 * time.Second
+)
+
+// Load is what an answer says of the server that gave it.
+type Load struct {
+	Running, Queued, Limit int
+	// Failing is the part of its recent requests that the server failed.
+	Failing float64
+	// Took is the usual running time of the request's class.
+	Took time.Duration
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	Zone  string
+	Class string
+	// Bytes of the body.
+	Bytes int
+	// Left is the time until the target latency.
+	Left time.Duration
+	// Tried are the nodes that are left out.
+	Tried []string
+	// Random returns numbers in [0, 1).
+	Random func() float64
+}
+
+// Picker is the state of the choice. The zero value is ready to use. The caller
+// serializes all calls.
+type Picker struct {
+	nodes map[string]*node
+}
+
+type node struct {
+	// epoch and server tell whether the state is of the same server.
+	epoch  int
+	server string
+
+	outstanding int
+	// guess is the expected number of requests at the server.
+	guess    int
+	load     Load
+	reported time.Time
+	took     map[string]time.Duration
+
+	strikes int
+	out     time.Time
+}
+
+// Pick returns the node for a request. It returns false when none is left.
+func (p *Picker) Pick(now time.Time, ready []messages.Entry, r Request) (messages.Entry, bool) {
+	best, bestScore, found := 0, 0.0, false
+	for i := range ready {
+		e := &ready[i]
+		if slices.Contains(r.Tried, e.Node) {
+			continue
+		}
+		s := p.score(now, e, r)
+		if !found || s < bestScore {
+			best, bestScore, found = i, s, true
+		}
+	}
+	if !found {
+		return messages.Entry{}, false
+	}
+	return ready[best], true
+}
+
+// IsOut says whether the node could not be reached lately.
+func (p *Picker) IsOut(now time.Time, e messages.Entry) bool {
+	n := p.nodes[e.Node]
+	return n != nil && now.Before(n.out)
+}
+
+func (p *Picker) score(now time.Time, e *messages.Entry, r Request) float64 {
+	// unreachable is above every other score: such a node is asked only when
+	// there is no other.
+	const unreachable = 1000
+	s := spread * r.Random()
+	if e.Zone != r.Zone {
+		s += zoneCharge + byteCharge*float64(r.Bytes)/(1<<20)
+	}
+	n := p.nodes[e.Node]
+	if n == nil || n.epoch != e.Epoch || n.server != e.Server {
+		return s + 1/float64(max(e.Slots, 1))
+	}
+	if now.Before(n.out) {
+		s += unreachable + n.out.Sub(now).Seconds()
+	}
+	fade := 1 - min(1, float64(now.Sub(n.reported))/float64(fadeTime))
+	expected := float64(n.outstanding)
+	if n.guess > n.outstanding {
+		expected += fade * float64(n.guess-n.outstanding)
+	}
+	s += (expected + 1) / float64(max(e.Slots, 1))
+	s += failCharge * fade * n.load.Failing
+	if took := n.took[r.Class]; took > r.Left {
+		s += lateCharge * fade
+	}
+	return s
+}
+
+// Sent counts a request that is sent to a node.
+func (p *Picker) Sent(e messages.Entry) {
+	n := p.at(e)
+	n.outstanding++
+	n.guess++
+}
+
+// Answered ends a request that the node answered.
+func (p *Picker) Answered(now time.Time, e messages.Entry, class string, l Load) {
+	n := p.end(e)
+	n.strikes, n.out = 0, time.Time{}
+	n.load, n.reported = l, now
+	n.guess = l.Running + l.Queued
+	if l.Took > 0 {
+		if n.took == nil {
+			n.took = make(map[string]time.Duration)
+		}
+		n.took[class] = l.Took
+	}
+}
+
+// Lost ends a request whose answer nobody waits for any more. It says nothing
+// about the node.
+func (p *Picker) Lost(e messages.Entry) { p.end(e) }
+
+// Failed ends a request that did not reach the node or was not answered. The
+// node is left out until the returned time.
+func (p *Picker) Failed(now time.Time, e messages.Entry) time.Time {
+	n := p.end(e)
+	if now.Before(n.out) {
+		return n.out
+	}
+	n.strikes++
+	n.out = now.Add(min(longestOut, firstOut<<min(n.strikes-1, 8)))
+	return n.out
+}
+
+func (p *Picker) end(e messages.Entry) *node {
+	n := p.at(e)
+	n.outstanding = max(0, n.outstanding-1)
+	n.guess = max(0, n.guess-1)
+	return n
+}
+
+func (p *Picker) at(e messages.Entry) *node {
+	if p.nodes == nil {
+		p.nodes = make(map[string]*node)
+	}
+	n := p.nodes[e.Node]
+	if n == nil || n.epoch != e.Epoch || n.server != e.Server {
+		n = &node{epoch: e.Epoch, server: e.Server}
+		p.nodes[e.Node] = n
+	}
+	return n
+}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -39,9 +39,17 @@
 	group    errgroup.Group
 }
 
+// Option changes a server before it starts.
+type Option func(*http.Server)
+
+// WithIdleTime sets how long a connection may be idle.
+func WithIdleTime(d time.Duration) Option {
+	return func(srv *http.Server) { srv.IdleTimeout = d }
+}
+
 // Start listens on addr and serves every request by handler. Port 0 takes any
 // free port; see [Server.Addr].
-func Start(addr netip.AddrPort, handler http.Handler) (*Server, error) {
+func Start(addr netip.AddrPort, handler http.Handler, opts ...Option) (*Server, error) {
 	gozero.Setup()
 	conf := rest.RestConf{Host: addr.Addr().String(), Port: int(addr.Port())}
 	if addr.Addr().Is6() {
@@ -70,6 +78,9 @@
 			srv.ReadHeaderTimeout = headerTimeout
 			srv.IdleTimeout = idleTimeout
 			srv.MaxHeaderBytes = maxHeaderBytes
+			for _, opt := range opts {
+				opt(srv)
+			}
 			srv.BaseContext = func(l net.Listener) context.Context {
 				listening <- l
 				return context.Background()
--- /dev/null
+++ b/internal/mesh/local/local.go
@@ -0,0 +1,354 @@
+// Package local runs requests on the backend server beside the node.
+//
+// # The only way
+//
+// A [Server] is the only way to its backend server: it admits requests through a
+// gate, counts exactly what runs, and says of each request truthfully whether it
+// ran. It passes nothing on before the backend server has spoken to it, nor after
+// the time at which a leaving one stops taking requests:
+//
+//	s := local.New(beats, pool, log, changed)
+//	result, answer := s.Run(ctx, call, request)
+package local
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"lavenderdeal/core/beat"
+	"lavenderdeal/core/gate"
+	"lavenderdeal/core/pick"
+	"lavenderdeal/internal/lines"
+	"lavenderdeal/io/hop"
+	"lavenderdeal/io/http1"
+	"lavenderdeal/platform"
+)
+
+const (
+	// leaveMargin is the part of a leaving server's time that is not used: a
+	// request takes a moment from the decision to the server.
+	leaveMargin = 300 * time.Millisecond
+	// smoothing is the weight of the newest outcome in the part of failures.
+	smoothing = 0.1
+)
+
+// The rules that end a request here, beside those of the gate.
+const (
+	RuleNoServer      = "noServer"
+	RuleOtherServer   = "otherServer"
+	RuleUnreachable   = "serverUnreachable"
+	RuleShed          = "serverFull"
+	RuleBroke         = "serverBroke"
+	RuleCallerLeft    = "callerLeft"
+	RuleDeadline      = gate.RuleDeadline
+	RuleSpoilt        = "answerSpoilt"
+	RuleFalseRefusal  = "refusalWithoutProof"
+	ruleWaitedTooLong = "waitedTooLong"
+)
+
+// State is what the node says of its server to others.
+type State struct {
+	Instance string
+	Slots    int
+	// Ready says that the server takes requests from others.
+	Ready bool
+	// Known says that the server has spoken.
+	Known bool
+}
+
+// Server is the way to the backend server. It is safe for use by several
+// goroutines at once. Lock order: mu is the only lock.
+type Server struct {
+	pool    *http1.Pool
+	log     *lines.Log
+	changed func(State)
+
+	mu      sync.Mutex
+	beats   *beat.Server
+	gate    *gate.Gate
+	next    uint64
+	waiting map[uint64]chan gate.Outcome
+	failing float64
+	// down says that nobody listened at the server's address since its newest
+	// message.
+	down bool
+}
+
+// New returns a Server of which nothing is known. Changed is called with each
+// new state.
+func New(beats *beat.Server, pool *http1.Pool, l *lines.Log, changed func(State)) *Server {
+	return &Server{
+		pool: pool, log: l, changed: changed, beats: beats,
+		gate: gate.New(), waiting: make(map[uint64]chan gate.Outcome),
+	}
+}
+
+// Beat takes a heartbeat. The error says why it is not acknowledged.
+func (s *Server) Beat(m beat.Message) error {
+	now := time.Now()
+	s.mu.Lock()
+	outcome := s.beats.Beat(now, m)
+	accepted, ok := outcome.(beat.Accepted)
+	changed := ok && (accepted.Changed || s.down)
+	if ok {
+		s.down = false
+	}
+	if changed {
+		s.failing = 0
+	}
+	s.applyLocked(now)
+	state := s.stateLocked()
+	s.mu.Unlock()
+	switch o := outcome.(type) {
+	case beat.Rejected:
+		s.log.Note("beatRejected", log.Fields{"server": m.ID, "service": m.Service, "reason": o.Reason})
+		return errors.Newf("heartbeat of %s: %s", m.ID, o.Reason)
+	case beat.Ignored:
+		s.log.Note("beatIgnored", log.Fields{"server": m.ID, "sequence": m.Sequence, "started": m.Started})
+	case beat.Accepted:
+		if changed {
+			s.log.Note("serverChanged", log.Fields{"server": m.ID, "slots": m.Slots, "leaving": m.Leaving, "coldFor": m.Cold.String(), "sequence": m.Sequence})
+			s.changed(state)
+		}
+	}
+	return nil
+}
+
+// Leave takes a server's last message.
+func (s *Server) Leave(id string) {
+	now := time.Now()
+	s.mu.Lock()
+	changed := s.beats.Leave(now, id)
+	s.applyLocked(now)
+	state := s.stateLocked()
+	s.mu.Unlock()
+	s.log.Note("serverLeft", log.Fields{"server": id, "known": changed})
+	if changed {
+		s.changed(state)
+	}
+}
+
+// State returns what the node says of its server.
+func (s *Server) State() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stateLocked()
+}
+
+func (s *Server) stateLocked() State {
+	m, _, known := s.beats.Current()
+	return State{Instance: m.ID, Slots: m.Slots, Ready: known && !m.Leaving && !s.down, Known: known}
+}
+
+// applyLocked opens or closes the gate.
+func (s *Server) applyLocked(now time.Time) {
+	s.beats.Apply(now.Add(leaveMargin), s.gate)
+	s.wakeLocked()
+}
+
+// wakeLocked tells waiting requests what was decided about them.
+func (s *Server) wakeLocked() {
+	for _, d := range s.gate.Decisions() {
+		if c := s.waiting[d.ID]; c != nil {
+			delete(s.waiting, d.ID)
+			c <- d.Outcome
+		}
+	}
+}
+
+// Load returns what the node says of its server's load.
+func (s *Server) Load(class string) pick.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loadLocked(class)
+}
+
+func (s *Server) loadLocked(class string) pick.Load {
+	running, queued, limit := s.gate.Load()
+	return pick.Load{Running: running, Queued: queued, Limit: limit, Failing: s.failing, Took: s.gate.Mean(class)}
+}
+
+// Run runs a request on the server. The answer is nil unless the verdict is
+// [hop.Ran].
+func (s *Server) Run(ctx context.Context, c hop.Call, r *http1.Request) (hop.Result, *http1.Response) {
+	started := time.Now()
+	deadline := started.Add(c.Left)
+	id, instance, refused := s.admit(ctx, started, c, deadline)
+	if refused != nil {
+		refused.Load = s.Load(c.Class)
+		return *refused, nil
+	}
+	result, answer := s.exchange(ctx, c, r, instance, deadline)
+	s.mu.Lock()
+	now := time.Now()
+	s.gate.Done(now, id, result.Verdict == hop.Ran)
+	s.wakeLocked()
+	s.judgeLocked(result, answer)
+	result.Load = s.loadLocked(c.Class)
+	s.mu.Unlock()
+	return result, answer
+}
+
+// admit waits until the request has a slot, or returns why it has none.
+func (s *Server) admit(ctx context.Context, now time.Time, c hop.Call, deadline time.Time) (uint64, string, *hop.Result) {
+	s.mu.Lock()
+	m, _, known := s.beats.Current()
+	switch {
+	case !known:
+		s.mu.Unlock()
+		return 0, "", notRun(RuleNoServer, 0)
+	case m.ID != c.Instance:
+		s.mu.Unlock()
+		return 0, "", notRun(RuleOtherServer, 0)
+	}
+	s.applyLocked(now)
+	s.next++
+	id := s.next
+	outcome := s.gate.Offer(now, gate.Request{
+		ID: id, Class: c.Class, Inner: c.Inner, Rank: c.Rank,
+		Target: now.Add(c.Target), Deadline: deadline, Patient: c.Patient,
+	})
+	var woken chan gate.Outcome
+	var until time.Time
+	if q, ok := outcome.(gate.Queued); ok {
+		woken = make(chan gate.Outcome, 1)
+		s.waiting[id] = woken
+		until = q.Until
+	}
+	s.mu.Unlock()
+	if woken != nil {
+		outcome = s.await(ctx, id, woken, until)
+	}
+	switch o := outcome.(type) {
+	case gate.Started:
+		return id, m.ID, nil
+	case gate.Refused:
+		return 0, "", notRun(o.Rule, o.RetryAfter)
+	}
+	return 0, "", notRun(RuleDeadline, 0)
+}
+
+func (s *Server) await(ctx context.Context, id uint64, woken chan gate.Outcome, until time.Time) gate.Outcome {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	rule := ruleWaitedTooLong
+	select {
+	case o := <-woken:
+		return o
+	case <-ctx.Done():
+		rule = RuleCallerLeft
+	case <-timer.C:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gate.Cancel(id) {
+		delete(s.waiting, id)
+		return gate.Refused{Rule: rule}
+	}
+	return <-woken
+}
+
+// exchange sends the request and reads the answer for what it says about running.
+func (s *Server) exchange(ctx context.Context, c hop.Call, r *http1.Request, instance string, deadline time.Time) (hop.Result, *http1.Response) {
+	if ctx.Err() != nil {
+		return *notRun(RuleCallerLeft, 0), nil
+	}
+	left := time.Until(deadline)
+	if left <= 0 {
+		return *notRun(RuleDeadline, 0), nil
+	}
+	sent := *r
+	sent.Header = maps.Clone(r.Header)
+	id := platform.ReadRequest(sent.Header).ID
+	platform.WriteRequest(sent.Header, platform.Outgoing{Origin: c.Origin, Instance: instance, Left: left})
+	sent.Once = c.Once
+	sent.IsAnswer = func(h http.Header) bool { return platform.ReadAnswer(0, h).ID == id }
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	s.mu.Lock()
+	m, _, _ := s.beats.Current()
+	s.mu.Unlock()
+	answer, err := s.pool.Do(ctx, m.Address, &sent)
+	if err != nil {
+		return s.failed(ctx, err), nil
+	}
+	said := platform.ReadAnswer(answer.Status, answer.Header)
+	switch {
+	case said.NotRun && !said.Signed:
+		return hop.Result{Verdict: hop.NotRun, Rule: RuleShed, Arrived: true}, nil
+	case said.Encoded:
+		return hop.Result{Verdict: hop.Unknown, Rule: RuleSpoilt, Arrived: true}, nil
+	case isSuccess(answer.Status) && !said.Signed:
+		return hop.Result{Verdict: hop.Unknown, Rule: RuleSpoilt, Arrived: true}, nil
+	case promisesNotRun(answer.Status):
+		// The status promises what the server did not say.
+		return hop.Result{Verdict: hop.Unknown, Rule: RuleFalseRefusal, Arrived: true}, nil
+	}
+	return hop.Result{Verdict: hop.Ran, Arrived: true}, answer
+}
+
+func (s *Server) failed(ctx context.Context, err error) hop.Result {
+	var e *http1.Error
+	if errors.As(err, &e) && !e.Sent {
+		if ctx.Err() == nil {
+			s.unreachable(err)
+		}
+		return hop.Result{Verdict: hop.NotRun, Rule: RuleUnreachable}
+	}
+	rule := RuleBroke
+	if ctx.Err() != nil {
+		rule = RuleCallerLeft
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			rule = RuleDeadline
+		}
+	}
+	return hop.Result{Verdict: hop.Unknown, Rule: rule, Arrived: true}
+}
+
+// unreachable notes that nobody listens at the server's address: the server has
+// ended, and others need not ask until it speaks again.
+func (s *Server) unreachable(cause error) {
+	s.mu.Lock()
+	was := s.down
+	s.down = true
+	state := s.stateLocked()
+	s.mu.Unlock()
+	if !was {
+		s.log.Note("serverLost", log.Fields{"server": state.Instance, "error": cause})
+		s.changed(state)
+	}
+}
+
+// judgeLocked adds an outcome to the part of failures.
+func (s *Server) judgeLocked(r hop.Result, answer *http1.Response) {
+	outcome := 0.0
+	switch {
+	case r.Rule == RuleCallerLeft, r.Rule == RuleDeadline:
+		return
+	case answer == nil, answer.Status >= http.StatusInternalServerError && answer.Status != http.StatusGatewayTimeout:
+		outcome = 1
+	}
+	s.failing += smoothing * (outcome - s.failing)
+}
+
+func notRun(rule string, retryAfter time.Duration) *hop.Result {
+	return &hop.Result{Verdict: hop.NotRun, Rule: rule, RetryAfter: retryAfter}
+}
+
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
+// promisesNotRun says whether callers take the status for a promise that the
+// request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,253 @@
+// Package mesh is the node on the users' platform: one process beside each
+// backend server that takes its callers' requests and is the only way to it.
+//
+// # Parts
+//
+//	caller ──▶ front ──▶ local ──▶ backend server      on the same instance
+//	             └─────▶ front (inbound) ──▶ local     on another one
+//	versions: the operators' configuration, from the store and from other nodes
+//	members:  what each node says of its server, told directly
+//
+// # Life
+//
+//	n, err := mesh.Start(cfg, log)
+//	<-ctx.Done()
+//	err = n.Stop()
+package mesh
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"lavenderdeal/core/beat"
+	"lavenderdeal/core/budget"
+	"lavenderdeal/internal/httpserver"
+	"lavenderdeal/internal/lines"
+	"lavenderdeal/internal/mesh/front"
+	"lavenderdeal/internal/mesh/local"
+	"lavenderdeal/internal/mesh/members"
+	"lavenderdeal/internal/mesh/versions"
+	"lavenderdeal/internal/secret"
+	"lavenderdeal/internal/wait"
+	"lavenderdeal/io/http1"
+	"lavenderdeal/io/peer"
+	"lavenderdeal/io/store"
+	"lavenderdeal/platform"
+	settings "lavenderdeal/schema/meshsettings"
+	messages "lavenderdeal/schema/roster"
+)
+
+const (
+	// notReadyAnswers is the number of times that the platform has to hear that
+	// the node leaves before its clients send nothing more.
+	notReadyAnswers = 2
+	// longestAnnounce ends the wait for these answers: the platform asks once a
+	// second.
+	longestAnnounce = 2800 * time.Millisecond
+	// quietTime is the time without a request after which a leaving node ends.
+	quietTime = 250 * time.Millisecond
+	// graceMargin is the part of the grace period that is kept for the end.
+	graceMargin = 500 * time.Millisecond
+	// hopIdleTime is longer than other nodes keep idle connections.
+	hopIdleTime = 2 * time.Minute
+	// maxBeat bounds a heartbeat.
+	maxBeat = 64 << 10
+	// logLimit is the time for the last lines of the log.
+	logLimit = 200 * time.Millisecond
+)
+
+// Node is a running node. Lock order: it has no lock of its own.
+type Node struct {
+	cfg      settings.Settings
+	log      *lines.Log
+	front    *front.Front
+	local    *local.Server
+	members  *members.Members
+	versions *versions.Follower
+	store    *store.Client
+	hops     *http1.Pool
+	server   *http1.Pool
+	endpoint *peer.Endpoint
+	servers  []*httpserver.Server
+	leaving  atomic.Bool
+	notReady atomic.Int64
+
+	cancel context.CancelFunc
+	group  errgroup.Group
+}
+
+// Start runs a node until Stop.
+func Start(cfg settings.Settings, l *lines.Log) (*Node, error) {
+	n := &Node{cfg: cfg, log: l, hops: http1.New(), server: http1.New(), store: store.New(cfg.Store)}
+	n.versions = versions.New(n.store, l, nil)
+	n.members = members.New(messages.Entry{
+		Node: cfg.Node, Epoch: int(time.Now().UnixMilli()), Zone: cfg.Zone, Service: cfg.Service,
+		Call: cfg.Listen.Call, Peer: cfg.Listen.Peer, State: messages.EntryStateWaiting,
+	}, n.store, n.versions, l)
+	n.local = local.New(beat.New(cfg.Service, cfg.Server, cfg.Drain.Std()), n.server, l, n.serverChanged)
+	n.front = front.New(
+		front.Self{Node: cfg.Node, Zone: cfg.Zone, Service: cfg.Service},
+		n.versions, n.members, n.local, n.hops,
+		budget.Bound{Ratio: cfg.Repeats.Ratio, Slack: cfg.Repeats.Slack, Window: cfg.Repeats.Window.Std()}, l,
+	)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	if err := n.listen(ctx); err != nil {
+		cancel()
+		n.close()
+		return nil, err
+	}
+	n.group.Go(func() error { return n.versions.Run(ctx) })
+	n.group.Go(func() error { return n.members.Run(ctx, n.endpoint) })
+	return n, nil
+}
+
+func (n *Node) listen(context.Context) error {
+	var mux peer.Mux
+	n.members.Handle(&mux)
+	endpoint, err := peer.Listen(n.cfg.Listen.Peer, secret.New(n.cfg.PeerKey), &mux)
+	if err != nil {
+		return errors.Wrap(err, "listen for other nodes")
+	}
+	n.endpoint = endpoint
+	for _, l := range []struct {
+		addr    netip.AddrPort
+		handler http.Handler
+	}{
+		{n.cfg.Listen.Control, http.HandlerFunc(n.serveBeat)},
+		{n.cfg.Listen.Call, n.front.Inbound()},
+		{n.cfg.Listen.Caller, n.front},
+		{n.cfg.Listen.Ready, http.HandlerFunc(n.serveReady)},
+	} {
+		s, err := httpserver.Start(l.addr, l.handler, httpserver.WithIdleTime(hopIdleTime))
+		if err != nil {
+			return err
+		}
+		n.servers = append(n.servers, s)
+	}
+	return nil
+}
+
+// serveReady answers whether the node takes callers.
+func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != platform.ReadyPath:
+		w.WriteHeader(http.StatusNotFound)
+	case n.leaving.Load():
+		n.notReady.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case n.versions.Table() == nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// serveBeat takes the messages of the own backend server.
+func (n *Node) serveBeat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBeat))
+	if err != nil {
+		n.log.Note("beatUnreadable", log.Fields{"error": err})
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	switch {
+	case platform.IsBeat(r.Method, r.URL.Path):
+		m, err := platform.ReadBeat(r.URL.Path, body)
+		if err == nil {
+			err = n.local.Beat(m)
+		} else {
+			n.log.Note("beatUnreadable", log.Fields{"error": err})
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	case platform.IsLeave(r.Method, r.URL.Path):
+		id, err := platform.ReadLeave(r.URL.Path)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		n.local.Leave(id)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if _, err := io.WriteString(w, "{}"); err != nil {
+		n.log.Note("beatNotAnswered", log.Fields{"error": err})
+	}
+}
+
+// serverChanged tells the other nodes what has become of the own server.
+func (n *Node) serverChanged(s local.State) {
+	n.members.Set(func(e *messages.Entry) {
+		e.Server, e.Slots = s.Instance, s.Slots
+		switch {
+		case n.leaving.Load():
+			e.State = messages.EntryStateLeaving
+		case s.Ready:
+			e.State = messages.EntryStateReady
+		case s.Known:
+			e.State = messages.EntryStateLeaving
+		default:
+			e.State = messages.EntryStateWaiting
+		}
+	})
+}
+
+// Stop ends the node without cutting off a request: it says that it leaves, goes
+// on serving until its clients have heard of it, finishes what it took, and ends.
+func (n *Node) Stop() error {
+	started := time.Now()
+	end := started.Add(n.cfg.Grace.Std() - graceMargin)
+	n.leaving.Store(true)
+	n.front.Leave()
+	n.log.Note("stopping", log.Fields{"inFlight": n.front.InFlight()})
+	n.serverChanged(n.local.State())
+	ctx := context.Background()
+	wait.Until(ctx, min(longestAnnounce, time.Until(end)), func() bool {
+		return n.notReady.Load() >= notReadyAnswers
+	})
+	quiet := time.Now()
+	wait.Until(ctx, time.Until(end), func() bool {
+		now := time.Now()
+		if n.front.InFlight() > 0 {
+			quiet = now
+		}
+		return now.Sub(quiet) >= quietTime
+	})
+	left := n.front.InFlight()
+	n.log.Note("stopped", log.Fields{"cutOff": left, "took": time.Since(started).String()})
+	n.close()
+	if left > 0 {
+		return errors.Newf("%d requests were cut off", left)
+	}
+	return nil
+}
+
+func (n *Node) close() {
+	n.cancel()
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+	if n.endpoint != nil {
+		_ = n.endpoint.Close()
+	}
+	_ = n.group.Wait()
+	n.hops.Close()
+	n.server.Close()
+	n.store.Close()
+}
+
+// Flush writes the last lines of the log.
+func (n *Node) Flush() { n.log.Close(logLimit) }
--- /dev/null
+++ b/internal/mesh/versions/versions.go
@@ -0,0 +1,166 @@
+// Package versions keeps the operators' newest configuration in force on a node.
+//
+// # Follower
+//
+// A [Follower] watches the platform's store and takes what other nodes offer. A
+// version is checked as a whole before it is put in force by one swap of a
+// pointer, and the version in force only rises:
+//
+//	f := versions.New(client, log)
+//	group.Go(func() error { return f.Run(ctx) })
+//	table := f.Table()
+package versions
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"lavenderdeal/core/routes"
+	"lavenderdeal/internal/lines"
+	"lavenderdeal/internal/wait"
+	"lavenderdeal/io/store"
+	"lavenderdeal/platform"
+)
+
+const (
+	// callLimit is the time for a call that does not wait. The store usually
+	// answers in milliseconds.
+	callLimit = 1500 * time.Millisecond
+	// watchTime is how long a watch waits in the store: the longest it allows,
+	// since each call has its price.
+	watchTime = 30 * time.Second
+	// gatherTime is the pause after a change, so that versions in quick
+	// succession are read together. A version has two seconds to be in force.
+	gatherTime = 400 * time.Millisecond
+	// firstPause and longestPause bound the pause after a failed call.
+	firstPause   = 150 * time.Millisecond
+	longestPause = 1500 * time.Millisecond
+)
+
+// Follower follows the configuration. It is safe for use by several goroutines
+// at once. Lock order: mu is the only lock.
+type Follower struct {
+	store *store.Client
+	log   *lines.Log
+	table atomic.Pointer[routes.Table]
+
+	mu sync.Mutex
+	// content is the document of the version in force.
+	content []byte
+	applied func(*routes.Table)
+}
+
+// New returns a follower without a version.
+func New(client *store.Client, log *lines.Log, applied func(*routes.Table)) *Follower {
+	return &Follower{store: client, log: log, applied: applied}
+}
+
+// Table returns the version in force, or nil.
+func (f *Follower) Table() *routes.Table { return f.table.Load() }
+
+// Version returns the number of the version in force, or 0.
+func (f *Follower) Version() uint64 {
+	if t := f.table.Load(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
+// Above returns the document in force when its version is above a number.
+func (f *Follower) Above(version uint64) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.Version() <= version {
+		return nil
+	}
+	return f.content
+}
+
+// Offer puts a document in force when its version is above that in force. The
+// source says where the document came from.
+func (f *Follower) Offer(content []byte, source string) {
+	if len(content) == 0 {
+		return
+	}
+	t, err := platform.ReadConfig(content)
+	if err != nil {
+		f.log.Note("versionRejected", log.Fields{"source": source, "error": err, "inForce": f.Version()})
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if before := f.Version(); t.Version() > before {
+		f.content = content
+		f.table.Store(t)
+		f.log.Note("versionInForce", log.Fields{"version": t.Version(), "before": before, "source": source, "routes": t.Len()})
+		if f.applied != nil {
+			f.applied(t)
+		}
+	}
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	var since uint64
+	failures := 0
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, since)
+		if err == nil {
+			if failures > 0 {
+				f.log.Note("storeRegained", log.Fields{"failures": failures})
+			}
+			failures = 0
+			changed := next != since
+			since = next
+			if changed {
+				wait.For(ctx, gatherTime)
+			}
+			continue
+		}
+		if errors.Is(err, store.ErrForgotten) {
+			since = 0
+			f.log.Note("historyForgotten", log.Fields{"inForce": f.Version()})
+			continue
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		if failures == 0 {
+			f.log.Note("storeLost", log.Fields{"error": err, "inForce": f.Version()})
+		}
+		failures++
+		wait.For(ctx, pause(failures))
+	}
+	return nil
+}
+
+// step makes one call and returns the revision from which to watch.
+func (f *Follower) step(ctx context.Context, since uint64) (uint64, error) {
+	path, limit := platform.ConfigList(), callLimit
+	if since > 0 {
+		path, limit = platform.ConfigWatch(since, watchTime), watchTime+callLimit
+	}
+	body, err := f.store.Get(ctx, path, limit)
+	if err != nil {
+		return 0, err
+	}
+	c, err := platform.ReadConfigPage(body)
+	if err != nil {
+		return 0, err
+	}
+	f.Offer(c.Content, "store")
+	return max(c.Revision, since), nil
+}
+
+// pause returns the time before the next call, with full jitter over the upper
+// half, so that nodes that lost the store together do not return together.
+func pause(failures int) time.Duration {
+	d := min(longestPause, firstPause<<min(failures-1, 6))
+	return d/2 + rand.N(d/2)
+}
--- /dev/null
+++ b/io/store/store.go
@@ -0,0 +1,144 @@
+// Package store calls the platform's object store and tells its failures apart.
+//
+//	client := store.New(addr)
+//	body, err := client.Get(ctx, path, time.Second)
+//	switch {
+//	case errors.Is(err, store.ErrBusy): // nothing was done
+//	case errors.Is(err, store.ErrUnknown): // a write may still take effect
+//	}
+package store
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lavenderdeal/internal/httpclient"
+)
+
+const (
+	// maxBody bounds an answer: a page of a list has about 1 MB.
+	maxBody = 8 << 20
+	// connections to the store: one for a watch that waits and one for the rest.
+	connections = 4
+	dialTimeout = 1 * time.Second
+	// Probes find a connection that went silent while a watch waits on it.
+	probeIdle     = 2 * time.Second
+	probeInterval = 1 * time.Second
+	probeCount    = 2
+)
+
+// The ways in which a call fails.
+var (
+	// ErrBusy says that the store refused the call; nothing was done.
+	ErrBusy = errors.New("the store refuses calls")
+	// ErrMissing says that there is no such object.
+	ErrMissing = errors.New("no such object")
+	// ErrConflict says that the object exists or has another revision.
+	ErrConflict = errors.New("the object has changed")
+	// ErrForgotten says that the store has no history since the revision.
+	ErrForgotten = errors.New("the store has forgotten its history")
+	// ErrUnknown says that no answer came: the call may have been done, or may be
+	// done later.
+	ErrUnknown = errors.New("the store did not answer")
+)
+
+// Client calls the store. It is safe for use by several goroutines at once.
+type Client struct {
+	base string
+	http *httpclient.Client
+}
+
+// New returns a client of the store at an address.
+func New(addr netip.AddrPort) *Client {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+	}
+	return &Client{
+		base: "http://" + addr.String(),
+		http: httpclient.New("store", httpclient.WithConnections(connections), httpclient.WithDialer(dialer)),
+	}
+}
+
+// Get reads.
+func (c *Client) Get(ctx context.Context, path string, limit time.Duration) ([]byte, error) {
+	return c.do(ctx, http.MethodGet, path, nil, limit)
+}
+
+// Post creates.
+func (c *Client) Post(ctx context.Context, path string, body []byte, limit time.Duration) error {
+	_, err := c.do(ctx, http.MethodPost, path, body, limit)
+	return err
+}
+
+// Put replaces.
+func (c *Client) Put(ctx context.Context, path string, body []byte, limit time.Duration) error {
+	_, err := c.do(ctx, http.MethodPut, path, body, limit)
+	return err
+}
+
+// Delete removes.
+func (c *Client) Delete(ctx context.Context, path string, limit time.Duration) error {
+	_, err := c.do(ctx, http.MethodDelete, path, nil, limit)
+	return err
+}
+
+// Close ends the idle connections.
+func (c *Client) Close() { c.http.Close() }
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, limit time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var content io.Reader
+	if body != nil {
+		content = bytes.NewReader(body)
+	}
+	r, err := httpclient.NewRequest(ctx, method, c.base+path, content)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request to the store")
+	}
+	if body != nil {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	answer, err := c.http.Do(r)
+	if err != nil {
+		if !httpclient.Sent(err) {
+			return nil, errors.Mark(errors.Wrap(err, "reach the store"), ErrBusy)
+		}
+		return nil, errors.Mark(errors.Wrapf(err, "%s %s", method, path), ErrUnknown)
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxBody))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "%s %s", method, path), ErrUnknown)
+	}
+	return data, statusError(method, path, answer.StatusCode)
+}
+
+func statusError(method, path string, status int) error {
+	var kind error
+	switch {
+	case status >= 200 && status < 300:
+		return nil
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		kind = ErrBusy
+	case status == http.StatusNotFound:
+		kind = ErrMissing
+	case status == http.StatusConflict:
+		kind = ErrConflict
+	case status == http.StatusGone:
+		kind = ErrForgotten
+	default:
+		kind = ErrUnknown
+	}
+	return errors.Mark(errors.Newf("%s %s: status %d", method, path, status), kind)
+}
--- /dev/null
+++ b/schema/meshsettings/meshsettings.go
@@ -0,0 +1,12 @@
+// Package meshsettings holds the types and the schema of the settings of a node
+// on the users' platform.
+package meshsettings
+
+import _ "embed"
+
+//go:generate go tool go-jsonschema --only-models --struct-name-from-title --tags json,yaml -p meshsettings -o meshsettings.gen.go meshsettings.schema.json
+
+// Schema is the JSON Schema of [Settings].
+//
+//go:embed meshsettings.schema.json
+var Schema []byte
