front, local: calls of a running request go before new work

A call whose parent runs on the own server is now as urgent as its parent and is not refused for being late.

--- a/core/beat/beat.go
+++ b/core/beat/beat.go
@@ -117,7 +117,9 @@
 	s.now = m
 	s.leaves = time.Time{}
 	if m.Leaving {
-		s.leaves = now.Add(s.drain)
+		// An earlier process of this node may have acknowledged it, nobody knows
+		// when: the time may be over.
+		s.leaves = now
 	}
 	return Accepted{Changed: true}
 }
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -113,6 +113,10 @@
 	deadline time.Time
 	http     *http1.Request
 	version  uint64
+	rank     int
+	target   time.Time
+	// inner says that a request on the own server waits for this one.
+	inner bool
 
 	tried    []string
 	arrivals int
@@ -186,6 +190,14 @@
 		left = min(left, in.Left)
 	}
 	q.deadline = started.Add(left)
+	q.rank, q.target = route.Rank, started.Add(route.Target)
+	if p, ok := f.local.Parent(in.Parent); ok {
+		// The slot and the work of the parent are lost when its call fails, so the
+		// call is as urgent as the parent and of use until the parent's target.
+		q.inner = true
+		q.rank = min(q.rank, p.Rank)
+		q.target = latest(q.target, p.Target)
+	}
 	body, failed := readBody(r, table.Limits().BodyBytes)
 	if failed != nil {
 		return q, failed
@@ -235,7 +247,7 @@
 
 // run offers the request until it is answered or nobody is left.
 func (f *Front) run(ctx context.Context, q *request) outcome {
-	patient := false
+	patient := q.inner
 	var last outcome
 	for q.offers < maxOffers {
 		now := time.Now()
@@ -270,7 +282,7 @@
 			if last.status == 0 && last.answer == nil {
 				last.rule = result.Rule
 			}
-			if patient {
+			if patient && !q.inner {
 				return f.settle(q, last)
 			}
 		case hop.Unknown:
@@ -318,7 +330,7 @@
 	defer f.mu.Unlock()
 	return f.picker.Pick(now, ready, pick.Request{
 		Zone: f.self.Zone, Class: q.route.Name, Bytes: len(q.http.Body),
-		Left: q.started.Add(q.route.Target).Sub(now), Tried: q.tried, Random: rand.Float64,
+		Left: q.target.Sub(now), Tried: q.tried, Random: rand.Float64,
 	})
 }
 
@@ -352,9 +364,9 @@
 func (f *Front) offer(ctx context.Context, q *request, e messages.Entry, patient bool) (hop.Result, *http1.Response) {
 	now := time.Now()
 	c := hop.Call{
-		Origin: f.self.Service, Instance: e.Server, Class: q.route.Name, Rank: q.route.Rank,
-		Patient: patient, Once: q.http.Once,
-		Target: q.started.Add(q.route.Target).Sub(now), Left: q.deadline.Sub(now),
+		Origin: f.self.Service, Instance: e.Server, Class: q.route.Name, Rank: q.rank,
+		Inner: q.inner, Patient: patient, Once: q.http.Once,
+		Target: q.target.Sub(now), Left: q.deadline.Sub(now),
 	}
 	f.mu.Lock()
 	f.picker.Sent(e)
@@ -463,7 +475,7 @@
 	}
 	fields := log.Fields{
 		"request": q.id, "status": status, "rule": o.rule, "version": q.version,
-		"tookMs": time.Since(q.started).Milliseconds(), "offers": q.offers, "arrivals": q.arrivals,
+		"inner": q.inner, "tookMs": time.Since(q.started).Milliseconds(), "offers": q.offers, "arrivals": q.arrivals,
 	}
 	if q.route != nil {
 		fields["route"], fields["service"] = q.route.Name, q.service
@@ -519,6 +531,13 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // forwardedHeader returns the fields that are not of one connection alone.
 func forwardedHeader(from http.Header) http.Header {
 	to := make(http.Header, len(from))
--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -62,6 +62,12 @@
 	Known bool
 }
 
+// Parent is a request that runs on the server and may make calls.
+type Parent struct {
+	Rank             int
+	Target, Deadline time.Time
+}
+
 // Server is the way to the backend server. It is safe for use by several
 // goroutines at once. Lock order: mu is the only lock.
 type Server struct {
@@ -75,6 +81,8 @@
 	next    uint64
 	waiting map[uint64]chan gate.Outcome
 	failing float64
+	// parents are the requests that run on the server, by their ids.
+	parents map[string]Parent
 	// down says that nobody listened at the server's address since its newest
 	// message.
 	down bool
@@ -86,6 +94,7 @@
 	return &Server{
 		pool: pool, log: l, changed: changed, beats: beats,
 		gate: gate.New(), waiting: make(map[uint64]chan gate.Outcome),
+		parents: make(map[string]Parent),
 	}
 }
 
@@ -162,6 +171,14 @@
 	}
 }
 
+// Parent returns the request with an id if it runs on the server.
+func (s *Server) Parent(id string) (Parent, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.parents[id]
+	return p, ok
+}
+
 // Load returns what the node says of its server's load.
 func (s *Server) Load(class string) pick.Load {
 	s.mu.Lock()
@@ -273,8 +290,12 @@
 	defer cancel()
 	s.mu.Lock()
 	m, _, _ := s.beats.Current()
+	s.parents[id] = Parent{Rank: c.Rank, Target: time.Now().Add(c.Target), Deadline: deadline}
 	s.mu.Unlock()
 	answer, err := s.pool.Do(ctx, m.Address, &sent)
+	s.mu.Lock()
+	delete(s.parents, id)
+	s.mu.Unlock()
 	if err != nil {
 		return s.failed(ctx, err), nil
 	}
