versions, roster: end a watch that hangs; an address belongs to the newest node

A cheap check every 1.5 s now ends such a watch. Entries of nodes whose addresses were given to others stayed ready and cost each request an offer (rule otherServer).

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -75,6 +75,9 @@
 		if known, ok := r.entries[e.Node]; ok && !isNewer(e, known) {
 			continue
 		}
+		if !r.evict(e) {
+			continue
+		}
 		r.put(e)
 		changed = append(changed, e)
 	}
@@ -135,6 +138,22 @@
 	return strconv.FormatUint(sum, 16)
 }
 
+// evict removes the entry of an earlier node at the address of e: an address is
+// given to another instance when the first one is gone. It returns false when e
+// is the earlier one.
+func (r *Roster) evict(e messages.Entry) bool {
+	for _, other := range r.entries {
+		if other.Node == e.Node || other.Call != e.Call {
+			continue
+		}
+		if other.Epoch > e.Epoch || other.Node == r.own {
+			return false
+		}
+		delete(r.entries, other.Node)
+	}
+	return true
+}
+
 func (r *Roster) put(e messages.Entry) {
 	r.entries[e.Node] = e
 	r.stale = true
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -51,6 +51,9 @@
 	// noServerRetry is the advice when no server of the service is known: about
 	// the time that a server needs to speak to its node.
 	noServerRetry = 400 * time.Millisecond
+	// stoppingRetry is the advice of a node that ends: about the time in which it
+	// is started again.
+	stoppingRetry = 300 * time.Millisecond
 	// maxRetryAfter bounds the advice; callers take no more than a third of the
 	// time they have left.
 	maxRetryAfter = 2 * time.Second
@@ -60,6 +63,7 @@
 
 // The rules that end a request here.
 const (
+	ruleStopping   = "nodeStopping"
 	ruleNoVersion  = "noConfiguration"
 	ruleNoRoute    = "noRoute"
 	ruleNoID       = "noRequestID"
@@ -85,6 +89,7 @@
 	pool     *http1.Pool
 	log      *lines.Log
 	leaving  atomic.Bool
+	closed   atomic.Bool
 	inFlight atomic.Int64
 
 	mu     sync.Mutex
@@ -101,6 +106,9 @@
 // Leave makes each answer ask its caller to open another connection.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
+// Close makes each further request be refused as not run.
+func (f *Front) Close() { f.closed.Store(true) }
+
 // InFlight returns the number of requests without an answer.
 func (f *Front) InFlight() int { return int(f.inFlight.Load()) }
 
@@ -170,6 +178,9 @@
 	if in.ID == "" {
 		return q, &outcome{status: http.StatusBadRequest, rule: ruleNoID}
 	}
+	if f.closed.Load() {
+		return q, &outcome{status: http.StatusServiceUnavailable, rule: ruleStopping, retryAfter: stoppingRetry}
+	}
 	table := f.versions.Table()
 	if table == nil {
 		return q, &outcome{status: http.StatusServiceUnavailable, rule: ruleNoVersion, retryAfter: noServerRetry}
--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -49,9 +49,11 @@
 	// ownWatch is the time that the node's own watch has to bring a version that
 	// another node has in force.
 	ownWatch = 300 * time.Millisecond
-	// forgetAfter is the number of failed comparisons in a row after which a node
-	// is forgotten. One that lives tells of itself again.
-	forgetAfter = 12
+	// forgetAfter is the time without an answer after which a node is forgotten,
+	// at the earliest with the forgetMisses-th failure in a row. It is longer than
+	// a partition usually lasts; a node that lives tells of itself again.
+	forgetAfter  = 12 * time.Second
+	forgetMisses = 3
 
 	methodTell    = "rosterTell"
 	methodSync    = "rosterSync"
@@ -69,17 +71,24 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
-	// missed counts failed comparisons in a row by node.
-	missed map[string]int
+	// missed holds failed comparisons in a row by node.
+	missed map[string]misses
+	// forgotten holds the epochs of nodes that were forgotten.
+	forgotten map[string]int
 	// written is the entry that the store holds.
 	written messages.Entry
 	stopped bool
 }
 
+type misses struct {
+	count int
+	since time.Time
+}
+
 // New returns the members with the own entry only. Handle must be called before
 // the endpoint listens; the endpoint is set by Run.
 func New(own messages.Entry, client *store.Client, v *versions.Follower, l *lines.Log) *Members {
-	return &Members{store: client, versions: v, log: l, roster: roster.New(own), missed: make(map[string]int)}
+	return &Members{store: client, versions: v, log: l, roster: roster.New(own), missed: make(map[string]misses), forgotten: make(map[string]int)}
 }
 
 // Handle registers the messages of other nodes.
@@ -194,7 +203,18 @@
 		}
 	}
 	m.mu.Lock()
-	unknown := slices.DeleteFunc(slices.Clone(all), func(e messages.Entry) bool { return m.roster.Knows(e.Node) })
+	own := m.roster.Own()
+	unknown := slices.DeleteFunc(slices.Clone(all), func(e messages.Entry) bool {
+		epoch, gone := m.forgotten[e.Node]
+		return m.roster.Knows(e.Node) || gone && e.Epoch <= epoch
+	})
+	for _, e := range all {
+		if e.Call == own.Call && e.Node != own.Node {
+			// The address is this node's now, so its former node is gone.
+			m.remove(e.Node)
+		}
+	}
+	unknown = slices.DeleteFunc(unknown, func(e messages.Entry) bool { return e.Call == own.Call })
 	m.mu.Unlock()
 	if len(unknown) > 0 {
 		// What a node left in the store says where it is, not how it is now.
@@ -320,15 +340,35 @@
 func (m *Members) miss(e messages.Entry, cause error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.missed[e.Node]++
 	n := m.missed[e.Node]
-	if n == 1 {
+	if n.count == 0 {
+		n.since = time.Now()
 		m.log.Note("nodeNotReached", log.Fields{"peer": e.Node, "error": cause})
 	}
-	if n >= forgetAfter && m.roster.Forget(e.Node) {
-		delete(m.missed, e.Node)
-		m.log.Note("nodeForgotten", log.Fields{"peer": e.Node, "missed": n})
+	n.count++
+	m.missed[e.Node] = n
+	if n.count < forgetMisses || time.Since(n.since) < forgetAfter || !m.roster.Forget(e.Node) {
+		return
+	}
+	delete(m.missed, e.Node)
+	m.forgotten[e.Node] = e.Epoch
+	m.log.Note("nodeForgotten", log.Fields{"peer": e.Node, "missed": n.count, "address": e.Call.String()})
+	m.remove(e.Node)
+}
+
+// remove takes a node's object out of the store. When the node lives after all,
+// it finds its object missing and writes it again.
+func (m *Members) remove(node string) {
+	if m.stopped {
+		return
 	}
+	m.group.Go(func() error {
+		err := m.store.Delete(context.Background(), platform.NodeDelete(node), callLimit)
+		if err != nil && !errors.Is(err, store.ErrMissing) {
+			m.log.Note("nodeNotRemoved", log.Fields{"peer": node, "error": err})
+		}
+		return nil
+	})
 }
 
 func (m *Members) merge(entries []messages.Entry, source string) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -53,7 +53,7 @@
 	// second.
 	longestAnnounce = 2800 * time.Millisecond
 	// quietTime is the time without a request after which a leaving node ends.
-	quietTime = 250 * time.Millisecond
+	quietTime = 100 * time.Millisecond
 	// graceMargin is the part of the grace period that is kept for the end.
 	graceMargin = 500 * time.Millisecond
 	// hopIdleTime is longer than other nodes keep idle connections.
@@ -206,7 +206,8 @@
 }
 
 // Stop ends the node without cutting off a request: it says that it leaves, goes
-// on serving until its clients have heard of it, finishes what it took, and ends.
+// on serving until its clients have heard of it, refuses what comes later,
+// finishes what it took, and ends.
 func (n *Node) Stop() error {
 	started := time.Now()
 	end := started.Add(n.cfg.Grace.Std() - graceMargin)
@@ -218,6 +219,7 @@
 	wait.Until(ctx, min(longestAnnounce, time.Until(end)), func() bool {
 		return n.notReady.Load() >= notReadyAnswers
 	})
+	n.front.Close()
 	quiet := time.Now()
 	wait.Until(ctx, time.Until(end), func() bool {
 		now := time.Now()
--- a/internal/mesh/versions/versions.go
+++ b/internal/mesh/versions/versions.go
@@ -20,6 +20,7 @@
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"lavenderdeal/core/routes"
 	"lavenderdeal/internal/lines"
@@ -38,6 +39,11 @@
 	// gatherTime is the pause after a change, so that versions in quick
 	// succession are read together. A version has two seconds to be in force.
 	gatherTime = 400 * time.Millisecond
+	// checkEvery is the usual time between two checks that the store answers and
+	// that the watch has missed nothing: a watch may wait on a connection that
+	// went silent. A check reads an older copy, which costs a tenth of a call.
+	checkEvery = 1500 * time.Millisecond
+	checkLimit = 1 * time.Second
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 150 * time.Millisecond
 	longestPause = 1500 * time.Millisecond
@@ -54,6 +60,8 @@
 	// content is the document of the version in force.
 	content []byte
 	applied func(*routes.Table)
+	// cancel ends the call on which the follower waits.
+	cancel context.CancelFunc
 }
 
 // New returns a follower without a version.
@@ -107,6 +115,38 @@
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error { f.check(ctx); return nil })
+	f.follow(ctx)
+	return group.Wait()
+}
+
+// check finds a watch that will not answer any more.
+func (f *Follower) check(ctx context.Context) {
+	for wait.For(ctx, checkEvery/2+rand.N(checkEvery)) {
+		f.mu.Lock()
+		cancel := f.cancel
+		f.mu.Unlock()
+		body, err := f.store.Get(ctx, platform.ConfigList(true), checkLimit)
+		if err == nil {
+			var c platform.Config
+			if c, err = platform.ReadConfigPage(body); err == nil {
+				before := f.Version()
+				f.Offer(c.Content, "check")
+				if f.Version() == before {
+					continue
+				}
+				err = errors.New("the watch has missed a version")
+			}
+		}
+		if cancel != nil && ctx.Err() == nil {
+			f.log.Note("watchEnded", log.Fields{"error": err, "inForce": f.Version()})
+			cancel()
+		}
+	}
+}
+
+func (f *Follower) follow(ctx context.Context) {
 	var since uint64
 	failures := 0
 	for ctx.Err() == nil {
@@ -116,7 +156,7 @@
 				f.log.Note("storeRegained", log.Fields{"failures": failures})
 			}
 			failures = 0
-			changed := next != since
+			changed := since > 0 && next != since
 			since = next
 			if changed {
 				wait.For(ctx, gatherTime)
@@ -129,24 +169,32 @@
 			continue
 		}
 		if ctx.Err() != nil {
-			return nil
+			return
 		}
+		since = 0
 		if failures == 0 {
 			f.log.Note("storeLost", log.Fields{"error": err, "inForce": f.Version()})
 		}
 		failures++
 		wait.For(ctx, pause(failures))
 	}
-	return nil
 }
 
 // step makes one call and returns the revision from which to watch.
 func (f *Follower) step(ctx context.Context, since uint64) (uint64, error) {
-	path, limit := platform.ConfigList(), callLimit
+	path, limit := platform.ConfigList(false), callLimit
 	if since > 0 {
 		path, limit = platform.ConfigWatch(since, watchTime), watchTime+callLimit
 	}
-	body, err := f.store.Get(ctx, path, limit)
+	call, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	f.cancel = cancel
+	f.mu.Unlock()
+	body, err := f.store.Get(call, path, limit)
+	f.mu.Lock()
+	f.cancel = nil
+	f.mu.Unlock()
 	if err != nil {
 		return 0, err
 	}
