--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -22,8 +22,9 @@
 //
 // When a slot is free, requests that can still be answered within their target
 // latency go first, among them those that other requests wait for, then by rank,
-// then by arrival. Requests that can only be late use what is left. Now and then
-// the one that has waited longest goes first, so that no rank starves.
+// then by arrival. Requests that can only be late use what is left, and when many
+// of them wait they are refused. Now and then the one that has waited longest goes
+// first, so that no rank starves.
 //
 // # Refusals
 //
@@ -43,6 +44,14 @@
 	maxClasses = 256
 	// maxQueueFactor bounds the queue, in multiples of the slots.
 	maxQueueFactor = 4
+	// latePart bounds the late requests that wait, and the punctual ones beside
+	// which they may, as a part of the slots. Beside more of them a late request
+	// would wait in vain.
+	latePart = 0.5
+	// spare is the part of the usual running time by which a request has to be
+	// early, since most take longer than usual now and then. A longer queue would
+	// serve no more requests, only later.
+	spare = 0.6
 	// oldestEvery is the number of free slots after which the oldest request
 	// goes first.
 	oldestEvery = 8
@@ -161,15 +170,16 @@
 		g.start(now, r)
 		return Started{}
 	}
-	if len(g.queue) >= maxQueueFactor*g.limit {
+	if len(g.queue) >= maxQueueFactor*g.limit && !g.evict(now, r) {
 		return Refused{Rule: RuleFull, RetryAfter: g.retryAfter(len(g.queue))}
 	}
 	need := g.need(r)
 	ahead := g.ahead(now, r)
-	begin := now.Add(g.wait(ahead))
+	end := now.Add(g.wait(ahead) + need)
 	switch {
-	case !begin.Add(need).After(r.Target):
-	case r.Patient && !begin.Add(need).After(r.Deadline):
+	case !end.Add(time.Duration(spare * float64(need))).After(r.Target):
+	case r.Inner && !end.After(r.Deadline):
+	case r.Patient && !end.After(r.Deadline) && g.hasLateRoom(now):
 	default:
 		return Refused{Rule: RuleLate, RetryAfter: g.retryAfter(ahead)}
 	}
@@ -233,11 +243,30 @@
 		g.start(now, r)
 		g.decide(r.ID, Started{})
 	}
+	g.trim(now)
+}
+
+// trim refuses late requests that wait in vain because too many do.
+func (g *Gate) trim(now time.Time) {
+	room := int(latePart * float64(g.limit))
+	for i := len(g.queue) - 1; i >= 0; i-- {
+		if r := g.queue[i]; !r.Inner && g.isLate(now, r) {
+			if room--; room >= 0 {
+				continue
+			}
+			g.decide(r.ID, Refused{Rule: RuleLate, RetryAfter: g.retryAfter(len(g.queue))})
+			g.queue = append(g.queue[:i], g.queue[i+1:]...)
+		}
+	}
 }
 
 func (g *Gate) next(now time.Time) int {
 	if g.freed%oldestEvery == 0 {
-		return 0
+		for i, r := range g.queue {
+			if !g.isLate(now, r) {
+				return i
+			}
+		}
 	}
 	best := 0
 	for i := 1; i < len(g.queue); i++ {
@@ -259,6 +288,34 @@
 	return a.Rank < b.Rank
 }
 
+// hasLateRoom says whether a late request may wait.
+func (g *Gate) hasLateRoom(now time.Time) bool {
+	late := 0
+	for _, r := range g.queue {
+		if g.isLate(now, r) {
+			late++
+		}
+	}
+	room := latePart * float64(g.limit)
+	return float64(late) < room && float64(len(g.queue)-late) < room
+}
+
+// evict refuses the request that would get a slot last, unless that is r.
+func (g *Gate) evict(now time.Time, r Request) bool {
+	last := 0
+	for i := range g.queue {
+		if !g.before(now, g.queue[i], g.queue[last]) {
+			last = i
+		}
+	}
+	if !g.before(now, r, g.queue[last]) {
+		return false
+	}
+	g.decide(g.queue[last].ID, Refused{Rule: RuleFull, RetryAfter: g.retryAfter(len(g.queue))})
+	g.queue = append(g.queue[:last], g.queue[last+1:]...)
+	return true
+}
+
 func (g *Gate) isLate(now time.Time, r Request) bool {
 	return now.Add(g.need(r)).After(r.Target)
 }
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -143,6 +143,9 @@
 	rule       string
 	retryAfter time.Duration
 	server     string
+	// waited and load are what the server's node said.
+	waited time.Duration
+	load   pick.Load
 }
 
 // ServeHTTP answers a caller.
@@ -281,7 +284,7 @@
 		}
 		switch result.Verdict {
 		case hop.Ran:
-			last = outcome{answer: answer, server: e.Node}
+			last = outcome{answer: answer, server: e.Node, waited: result.Waited, load: result.Load}
 			if answer.Status < http.StatusInternalServerError || !f.mayRepeat(q, ctx) {
 				return last
 			}
@@ -493,6 +496,8 @@
 	}
 	if o.server != "" {
 		fields["by"] = o.server
+		fields["waitedMs"], fields["running"], fields["queued"] = o.waited.Milliseconds(), o.load.Running, o.load.Queued
+		fields["usualMs"], fields["failing"] = o.load.Took.Milliseconds(), o.load.Failing
 	}
 	if o.retryAfter > 0 {
 		fields["retryAfterMs"] = o.retryAfter.Milliseconds()
--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -201,7 +201,9 @@
 		refused.Load = s.Load(c.Class)
 		return *refused, nil
 	}
+	waited := time.Since(started)
 	result, answer := s.exchange(ctx, c, r, instance, deadline)
+	result.Waited = waited
 	s.mu.Lock()
 	now := time.Now()
 	s.gate.Done(now, id, result.Verdict == hop.Ran)
@@ -231,6 +233,7 @@
 		ID: id, Class: c.Class, Inner: c.Inner, Rank: c.Rank,
 		Target: now.Add(c.Target), Deadline: deadline, Patient: c.Patient,
 	})
+	s.wakeLocked()
 	var woken chan gate.Outcome
 	var until time.Time
 	if q, ok := outcome.(gate.Queued); ok {
--- a/io/hop/hop.go
+++ b/io/hop/hop.go
@@ -26,7 +26,7 @@
 	headerCall   = "Lavenderdeal-Call"
 	headerResult = "Lavenderdeal-Result"
 	callFields   = 7
-	resultFields = 9
+	resultFields = 10
 
 	flagInner   = 'i'
 	flagPatient = 'p'
@@ -75,7 +75,9 @@
 	Arrived bool
 	// RetryAfter is when room is expected.
 	RetryAfter time.Duration
-	Load       pick.Load
+	// Waited is the time in the queue.
+	Waited time.Duration
+	Load   pick.Load
 }
 
 // WriteCall puts the call into a request's header.
@@ -138,6 +140,7 @@
 		strconv.Itoa(int(r.Load.Failing * 1000)),
 		strconv.FormatInt(r.Load.Took.Milliseconds(), 10),
 		strconv.FormatInt(r.RetryAfter.Milliseconds(), 10),
+		strconv.FormatInt(r.Waited.Milliseconds(), 10),
 	}, ";")}
 }
 
@@ -152,7 +155,7 @@
 	if r.Verdict != Ran && r.Verdict != NotRun && r.Verdict != Unknown {
 		return Result{}, errors.Newf("%s has the unknown verdict %q", headerResult, f[0])
 	}
-	var numbers [6]int
+	var numbers [7]int
 	for i := range numbers {
 		n, err := strconv.Atoi(f[3+i])
 		if err != nil {
@@ -166,6 +169,7 @@
 		Took:    time.Duration(numbers[4]) * time.Millisecond,
 	}
 	r.RetryAfter = time.Duration(numbers[5]) * time.Millisecond
+	r.Waited = time.Duration(numbers[6]) * time.Millisecond
 	return r, nil
 }
 
