--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -46,6 +46,11 @@
 	// out; it doubles with each failure in a row.
 	firstOut   = 300 * time.Millisecond
 	longestOut = 4 * time.Second
+	// fullCharge is above every score of a node that may have room.
+	fullCharge = 100.0
+	// longestFull bounds the time for which a refusal is believed: a few requests
+	// end in it at a busy server.
+	longestFull = 25 * time.Millisecond
 )
 
 // Load is what an answer says of the server that gave it.
@@ -91,25 +96,44 @@
 
 	strikes int
 	out     time.Time
+	// full is until when the node is expected to refuse for want of room.
+	full time.Time
+}
+
+// Choice is the node for a request.
+type Choice struct {
+	Entry messages.Entry
+	// Full says that the node is expected to refuse for want of room.
+	Full bool
+	// Last says that no other node may have room.
+	Last bool
 }
 
 // Pick returns the node for a request. It returns false when none is left.
-func (p *Picker) Pick(now time.Time, ready []messages.Entry, r Request) (messages.Entry, bool) {
-	best, bestScore, found := 0, 0.0, false
+func (p *Picker) Pick(now time.Time, ready []messages.Entry, r Request) (Choice, bool) {
+	best, bestScore, found, roomy := 0, 0.0, false, 0
 	for i := range ready {
 		e := &ready[i]
 		if slices.Contains(r.Tried, e.Node) {
 			continue
 		}
 		s := p.score(now, e, r)
+		if s < fullCharge {
+			roomy++
+		}
 		if !found || s < bestScore {
 			best, bestScore, found = i, s, true
 		}
 	}
 	if !found {
-		return messages.Entry{}, false
+		return Choice{}, false
 	}
-	return ready[best], true
+	n := p.nodes[ready[best].Node]
+	return Choice{
+		Entry: ready[best],
+		Full:  n != nil && now.Before(n.full) && now.After(n.out),
+		Last:  roomy <= 1,
+	}, true
 }
 
 // IsOut says whether the node could not be reached lately.
@@ -133,6 +157,9 @@
 	if now.Before(n.out) {
 		s += unreachable + n.out.Sub(now).Seconds()
 	}
+	if now.Before(n.full) {
+		s += fullCharge
+	}
 	fade := 1 - min(1, float64(now.Sub(n.reported))/float64(fadeTime))
 	expected := float64(n.outstanding)
 	if n.guess > n.outstanding {
@@ -156,7 +183,7 @@
 // Answered ends a request that the node answered.
 func (p *Picker) Answered(now time.Time, e messages.Entry, class string, l Load) {
 	n := p.end(e)
-	n.strikes, n.out = 0, time.Time{}
+	n.strikes, n.out, n.full = 0, time.Time{}, time.Time{}
 	n.load, n.reported = l, now
 	n.guess = l.Running + l.Queued
 	if l.Took > 0 {
@@ -167,6 +194,12 @@
 	}
 }
 
+// Refused notes that a node refused a request for want of room, and when it
+// expects to have some.
+func (p *Picker) Refused(now time.Time, e messages.Entry, retryAfter time.Duration) {
+	p.at(e).full = now.Add(min(retryAfter, longestFull))
+}
+
 // Lost ends a request whose answer nobody waits for any more. It says nothing
 // about the node.
 func (p *Picker) Lost(e messages.Entry) { p.end(e) }
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -41,8 +41,8 @@
 )
 
 const (
-	// promptOffers is the number of nodes that are asked for room in time. Each
-	// one costs a round trip of a millisecond or two.
+	// promptOffers is the number of nodes that are asked for room, the last of
+	// them also for late room. Each one costs a round trip of a millisecond or two.
 	promptOffers = 3
 	// maxOffers bounds all offers of one request.
 	maxOffers = 8
@@ -51,6 +51,9 @@
 	// noServerRetry is the advice when no server of the service is known: about
 	// the time that a server needs to speak to its node.
 	noServerRetry = 400 * time.Millisecond
+	// fullRetry is the advice when all servers have refused a moment ago: about the
+	// time in which one of their requests ends.
+	fullRetry = 80 * time.Millisecond
 	// stoppingRetry is the advice of a node that ends: about the time in which it
 	// is started again.
 	stoppingRetry = 300 * time.Millisecond
@@ -69,6 +72,7 @@
 	ruleNoID       = "noRequestID"
 	ruleBody       = "bodyTooLarge"
 	ruleBodyBroken = "bodyBroken"
+	ruleFull       = "allServersFull"
 	ruleNoServer   = "noServerKnown"
 	ruleDeadline   = "deadlinePassed"
 	ruleUnanswered = "nodeUnanswered"
@@ -261,23 +265,23 @@
 
 // run offers the request until it is answered or nobody is left.
 func (f *Front) run(ctx context.Context, q *request) outcome {
-	patient := q.inner
 	var last outcome
 	for q.offers < maxOffers {
 		now := time.Now()
 		if ctx.Err() != nil || q.deadline.Sub(now) < leastLeft {
 			return deadlineOutcome(q, last)
 		}
-		e, ok := f.pick(now, q)
-		if !ok || !patient && q.full >= promptOffers {
-			if patient || q.full == 0 {
-				break
+		choice, ok := f.pick(now, q)
+		if !ok || choice.Full && !q.inner {
+			if ok && last.rule == "" {
+				last.rule = ruleFull
+				q.room = fullRetry
 			}
-			patient = true
-			q.tried = q.tried[:0]
-			continue
+			break
 		}
+		e := choice.Entry
 		q.offers++
+		patient := q.inner || choice.Last || q.offers >= promptOffers
 		result, answer := f.offer(ctx, q, e, patient)
 		if result.Arrived {
 			q.arrivals++
@@ -338,7 +342,7 @@
 	return outcome{status: http.StatusGatewayTimeout, rule: ruleDeadline}
 }
 
-func (f *Front) pick(now time.Time, q *request) (messages.Entry, bool) {
+func (f *Front) pick(now time.Time, q *request) (pick.Choice, bool) {
 	ready := f.members.Ready(q.service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -392,6 +396,9 @@
 	switch {
 	case err == nil:
 		f.picker.Answered(now, e, q.route.Name, result.Load)
+		if result.Verdict == hop.NotRun && result.RetryAfter > 0 {
+			f.picker.Refused(now, e, result.RetryAfter)
+		}
 	case ctx.Err() != nil && result.Verdict == hop.Unknown && errors.Is(ctx.Err(), context.Canceled):
 		f.picker.Lost(e)
 	default:
