members, beat: remember who left across processes of a node; fewer bytes and calls

Ends of unknown servers are now remembered, others and the store tell a new process what the earlier one acknowledged. A starting node learns from three others instead of from all, rosters are exchanged whole only when they differ twice, versions are gathered for 0.8 s.

--- a/core/beat/beat.go
+++ b/core/beat/beat.go
@@ -28,8 +28,13 @@
 	"lavenderdeal/core/gate"
 )
 
-// maxEnded bounds the starts that are remembered as ended.
-const maxEnded = 32
+const (
+	// maxEnded bounds the starts that are remembered as ended.
+	maxEnded = 32
+	// clockError is how far the clocks of a server and its node may differ. A
+	// later start under the same id is told by its time.
+	clockError = 3 * time.Second
+)
 
 // Message is what a server says of itself.
 type Message struct {
@@ -137,9 +142,12 @@
 }
 
 // Leave decides about a server's last message. It says whether the state has
-// changed. The server goes on serving for as long as one that drains.
+// changed. The server goes on serving for as long as one that drains. A server
+// that is not known yet is remembered: a heartbeat that it sent before may still
+// come.
 func (s *Server) Leave(now time.Time, id string) bool {
 	if !s.known || s.now.ID != id {
+		s.end(id, now.Add(-clockError))
 		return false
 	}
 	if s.now.Leaving {
@@ -150,12 +158,18 @@
 	return true
 }
 
-// Gone notes that the server has ended.
-func (s *Server) Gone() {
-	if s.known {
-		s.end(s.now.ID, s.now.Started)
-		s.known = false
+// Forbid notes that a start of a server is known to have said that it leaves, as
+// an earlier process of the node was told. It returns false when it was known.
+func (s *Server) Forbid(now time.Time, id string, started time.Time) bool {
+	if s.hasEnded(Message{ID: id, Started: started}) {
+		return false
 	}
+	s.end(id, started)
+	if s.known && s.now.ID == id && !s.now.Started.After(started) && !s.now.Leaving {
+		s.now.Leaving = true
+		s.leaves = now
+	}
+	return true
 }
 
 // Current returns the server's newest message, and until when it takes requests
--- /dev/null
+++ b/core/beat/beat_test.go
@@ -0,0 +1,149 @@
+package beat_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"lavenderdeal/core/beat"
+	"lavenderdeal/core/gate"
+)
+
+var (
+	addr  = netip.MustParseAddrPort("10.1.0.9:8080")
+	epoch = time.Date(2026, 1, 1, 6, 0, 0, 0, time.UTC)
+	drain = 2 * time.Second
+)
+
+func message(id string, sequence uint64) beat.Message {
+	return beat.Message{ID: id, Service: "bookings", Address: addr, Slots: 4, Sequence: sequence, Started: epoch.Add(-time.Minute)}
+}
+
+func leaving(m beat.Message) beat.Message {
+	m.Leaving = true
+	return m
+}
+
+// takes says whether a request is admitted at a moment.
+func takes(s *beat.Server, now time.Time) bool {
+	g := gate.New()
+	s.Apply(now, g)
+	_, ok := g.Offer(now, gate.Request{ID: 1, Target: now.Add(time.Second), Deadline: now.Add(time.Second)}).(gate.Started)
+	return ok
+}
+
+func assertTakes(t *testing.T, s *beat.Server, now time.Time, want bool) {
+	t.Helper()
+	if got := takes(s, now); got != want {
+		t.Fatalf("takes requests: %v, want %v", got, want)
+	}
+}
+
+func assertOutcome[O beat.Outcome](t *testing.T, o beat.Outcome) {
+	t.Helper()
+	if _, ok := o.(O); !ok {
+		t.Fatalf("got %#v", o)
+	}
+}
+
+func ExampleServer() {
+	s := beat.New("bookings", addr, drain)
+	fmt.Println(takes(s, epoch))
+	s.Beat(epoch, message("i-1", 1))
+	fmt.Println(takes(s, epoch))
+	s.Beat(epoch, leaving(message("i-1", 2)))
+	fmt.Println(takes(s, epoch.Add(time.Second)), takes(s, epoch.Add(drain)))
+	// Output:
+	// false
+	// true
+	// true false
+}
+
+func TestOrder(t *testing.T) {
+	t.Run("a late message changes nothing", func(t *testing.T) {
+		s := beat.New("bookings", addr, drain)
+		s.Beat(epoch, leaving(message("i-1", 5)))
+		assertOutcome[beat.Ignored](t, s.Beat(epoch, message("i-1", 4)))
+		assertTakes(t, s, epoch.Add(drain), false)
+	})
+	t.Run("a leaving server does not come back under the same start", func(t *testing.T) {
+		s := beat.New("bookings", addr, drain)
+		s.Beat(epoch, message("i-1", 1))
+		s.Beat(epoch, leaving(message("i-1", 2)))
+		s.Beat(epoch, message("i-1", 3))
+		assertTakes(t, s, epoch.Add(drain), false)
+	})
+	t.Run("a repeated message does not prolong the time", func(t *testing.T) {
+		s := beat.New("bookings", addr, drain)
+		s.Beat(epoch, message("i-1", 1))
+		s.Beat(epoch, leaving(message("i-1", 2)))
+		s.Beat(epoch.Add(time.Second), leaving(message("i-1", 3)))
+		s.Leave(epoch.Add(time.Second), "i-1")
+		assertTakes(t, s, epoch.Add(drain), false)
+	})
+	t.Run("a later start takes over", func(t *testing.T) {
+		s := beat.New("bookings", addr, drain)
+		s.Beat(epoch, leaving(message("i-1", 9)))
+		next := message("i-1", 1)
+		next.Started = epoch
+		assertOutcome[beat.Accepted](t, s.Beat(epoch, next))
+		assertTakes(t, s, epoch.Add(time.Hour), true)
+	})
+	t.Run("an earlier start does not come back", func(t *testing.T) {
+		s := beat.New("bookings", addr, drain)
+		next := message("i-2", 1)
+		next.Started = epoch
+		s.Beat(epoch, next)
+		assertOutcome[beat.Ignored](t, s.Beat(epoch, message("i-1", 99)))
+	})
+}
+
+// A node is killed after it acknowledged that its server leaves; its next process
+// hears of the server by late or repeated messages.
+func TestNextProcess(t *testing.T) {
+	t.Run("a first message that says leaving opens nothing", func(t *testing.T) {
+		s := beat.New("bookings", addr, drain)
+		s.Beat(epoch, leaving(message("i-1", 7)))
+		assertTakes(t, s, epoch, false)
+	})
+	t.Run("a last message and then a late heartbeat open nothing", func(t *testing.T) {
+		s := beat.New("bookings", addr, drain)
+		s.Leave(epoch, "i-1")
+		assertOutcome[beat.Ignored](t, s.Beat(epoch, message("i-1", 7)))
+		assertTakes(t, s, epoch, false)
+	})
+	t.Run("what others remember closes", func(t *testing.T) {
+		s := beat.New("bookings", addr, drain)
+		s.Beat(epoch, message("i-1", 7))
+		if !s.Forbid(epoch, "i-1", message("i-1", 0).Started) {
+			t.Fatal("known already")
+		}
+		assertTakes(t, s, epoch, false)
+	})
+	t.Run("a later start under the same id opens", func(t *testing.T) {
+		s := beat.New("bookings", addr, drain)
+		s.Leave(epoch, "i-1")
+		next := message("i-1", 1)
+		next.Started = epoch.Add(time.Second)
+		s.Beat(epoch.Add(time.Second), next)
+		assertTakes(t, s, epoch.Add(time.Second), true)
+	})
+}
+
+func TestForeign(t *testing.T) {
+	for name, change := range map[string]func(*beat.Message){
+		"another service": func(m *beat.Message) { m.Service = "availability" },
+		"another address": func(m *beat.Message) { m.Address = netip.MustParseAddrPort("10.1.0.10:8080") },
+		"no slots":        func(m *beat.Message) { m.Slots = 0 },
+		"no id":           func(m *beat.Message) { m.ID = "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := beat.New("bookings", addr, drain)
+			m := message("i-1", 1)
+			change(&m)
+			assertOutcome[beat.Rejected](t, s.Beat(epoch, m))
+			assertTakes(t, s, epoch, false)
+		})
+	}
+}
--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -55,11 +55,13 @@
 // State is what the node says of its server to others.
 type State struct {
 	Instance string
-	Slots    int
+	// Started is the server's own time of its start.
+	Started time.Time
+	Slots   int
 	// Ready says that the server takes requests from others.
 	Ready bool
-	// Known says that the server has spoken.
-	Known bool
+	// Leaving says that the server said that it leaves.
+	Leaving bool
 }
 
 // Parent is a request that runs on the server and may make calls.
@@ -143,6 +145,24 @@
 	}
 }
 
+// Forbid notes that an earlier process of this node was told that the server
+// leaves.
+func (s *Server) Forbid(id string, started time.Time) {
+	now := time.Now()
+	s.mu.Lock()
+	before := s.stateLocked()
+	isNew := s.beats.Forbid(now, id, started)
+	s.applyLocked(now)
+	state := s.stateLocked()
+	s.mu.Unlock()
+	if isNew {
+		s.log.Note("serverForbidden", log.Fields{"server": id, "started": started})
+	}
+	if state != before {
+		s.changed(state)
+	}
+}
+
 // State returns what the node says of its server.
 func (s *Server) State() State {
 	s.mu.Lock()
@@ -152,7 +172,7 @@
 
 func (s *Server) stateLocked() State {
 	m, _, known := s.beats.Current()
-	return State{Instance: m.ID, Slots: m.Slots, Ready: known && !m.Leaving && !s.down, Known: known}
+	return State{Instance: m.ID, Started: m.Started, Slots: m.Slots, Ready: known && !m.Leaving && !s.down, Leaving: known && m.Leaving}
 }
 
 // applyLocked opens or closes the gate.
--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -55,6 +55,15 @@
 	forgetAfter  = 12 * time.Second
 	forgetMisses = 3
 
+	// differingLimit is the number of comparisons in a row that find a difference
+	// before all entries are exchanged, which are many bytes in a large fleet.
+	differingLimit = 2
+	// keepTries bounds the attempts to keep in the store that a server leaves.
+	keepTries = 5
+	// introductions is the number of nodes from which a node that starts learns
+	// the others' states.
+	introductions = 3
+
 	methodTell    = "rosterTell"
 	methodSync    = "rosterSync"
 	methodVersion = "rosterVersion"
@@ -75,9 +84,12 @@
 	missed map[string]misses
 	// forgotten holds the epochs of nodes that were forgotten.
 	forgotten map[string]int
-	// written is the entry that the store holds.
-	written messages.Entry
+	// written says that the store holds an object of this node.
+	written bool
 	stopped bool
+	// differing counts comparisons in a row that found a difference.
+	differing int
+	past      func(messages.Entry)
 }
 
 type misses struct {
@@ -86,9 +98,10 @@
 }
 
 // New returns the members with the own entry only. Handle must be called before
-// the endpoint listens; the endpoint is set by Run.
-func New(own messages.Entry, client *store.Client, v *versions.Follower, l *lines.Log) *Members {
-	return &Members{store: client, versions: v, log: l, roster: roster.New(own), missed: make(map[string]misses), forgotten: make(map[string]int)}
+// the endpoint listens; the endpoint is set by Run. Past is called with what an
+// earlier process of the node is remembered to have said.
+func New(own messages.Entry, client *store.Client, v *versions.Follower, l *lines.Log, past func(messages.Entry)) *Members {
+	return &Members{past: past, store: client, versions: v, log: l, roster: roster.New(own), missed: make(map[string]misses), forgotten: make(map[string]int)}
 }
 
 // Handle registers the messages of other nodes.
@@ -101,8 +114,8 @@
 		m.merge(q.Entries, "synced")
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		a := messages.SyncAnswer{Version: int(m.versions.Version())}
-		if q.Digest != m.roster.Digest() {
+		a := messages.SyncAnswer{Version: int(m.versions.Version()), Same: q.Digest == m.roster.Digest()}
+		if !a.Same && q.Full {
 			a.Entries = m.roster.All()
 		}
 		return a, nil
@@ -141,6 +154,31 @@
 	m.mu.Unlock()
 	m.log.Note("ownEntry", log.Fields{"state": own.State, "server": own.Server, "slots": own.Slots, "epoch": own.Epoch, "sequence": own.Sequence})
 	m.broadcast(own)
+	if own.State == messages.EntryStateLeaving {
+		m.keep(own)
+	}
+}
+
+// keep writes the own entry to the store, so that a later process of this node
+// knows what this one has acknowledged although all others may end too.
+func (m *Members) keep(own messages.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		return
+	}
+	m.group.Go(func() error {
+		ctx := context.Background()
+		for range keepTries {
+			err := m.write(ctx)
+			if err == nil {
+				return nil
+			}
+			m.log.Note("leaveNotKept", log.Fields{"server": own.Server, "error": err})
+			wait.For(ctx, listAlone/2+rand.N(listAlone))
+		}
+		return nil
+	})
 }
 
 // Run spreads the own entry and learns of others until ctx ends.
@@ -204,6 +242,7 @@
 	}
 	m.mu.Lock()
 	own := m.roster.Own()
+	past := slices.DeleteFunc(slices.Clone(all), func(e messages.Entry) bool { return e.Node != own.Node || e.Epoch == own.Epoch })
 	unknown := slices.DeleteFunc(slices.Clone(all), func(e messages.Entry) bool {
 		epoch, gone := m.forgotten[e.Node]
 		return m.roster.Knows(e.Node) || gone && e.Epoch <= epoch
@@ -216,6 +255,9 @@
 	}
 	unknown = slices.DeleteFunc(unknown, func(e messages.Entry) bool { return e.Call == own.Call })
 	m.mu.Unlock()
+	for _, e := range past {
+		m.past(e)
+	}
 	if len(unknown) > 0 {
 		// What a node left in the store says where it is, not how it is now.
 		for i := range unknown {
@@ -238,18 +280,36 @@
 
 func (m *Members) write(ctx context.Context) error {
 	own := m.Own()
-	path, body, err := platform.NodeCreate(own)
-	if err != nil {
-		return err
+	m.mu.Lock()
+	exists := m.written
+	m.mu.Unlock()
+	if !exists {
+		path, body, err := platform.NodeCreate(own)
+		if err != nil {
+			return err
+		}
+		err = m.store.Post(ctx, path, body, callLimit)
+		if err != nil && !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+		m.mu.Lock()
+		m.written = true
+		m.mu.Unlock()
+		if err == nil {
+			return nil
+		}
 	}
-	err = m.store.Post(ctx, path, body, callLimit)
-	if !errors.Is(err, store.ErrConflict) {
+	path, body, err := platform.NodeReplace(own)
+	if err != nil {
 		return err
 	}
-	if path, body, err = platform.NodeReplace(own); err != nil {
-		return err
+	err = m.store.Put(ctx, path, body, callLimit)
+	if errors.Is(err, store.ErrMissing) {
+		m.mu.Lock()
+		m.written = false
+		m.mu.Unlock()
 	}
-	return m.store.Put(ctx, path, body, callLimit)
+	return err
 }
 
 // introduce sends the own entry to nodes that were found in the store and learns
@@ -261,7 +321,8 @@
 	if !ctxOK {
 		return
 	}
-	for _, e := range entries {
+	for _, i := range rand.Perm(len(entries))[:min(introductions, len(entries))] {
+		e := entries[i]
 		m.group.Go(func() error {
 			ctx, cancel := context.WithTimeout(context.Background(), tellLimit)
 			defer cancel()
@@ -289,7 +350,11 @@
 
 func (m *Members) exchange(ctx context.Context, e messages.Entry, introduce bool) {
 	m.mu.Lock()
-	q := messages.SyncQuestion{Digest: m.roster.Digest(), Version: int(m.versions.Version())}
+	// News that are on their way make rosters differ for a moment.
+	q := messages.SyncQuestion{
+		Digest: m.roster.Digest(), Version: int(m.versions.Version()),
+		Full: introduce || m.differing >= differingLimit,
+	}
 	if introduce {
 		q.Entries = []messages.Entry{m.roster.Own()}
 	}
@@ -301,6 +366,10 @@
 	}
 	m.mu.Lock()
 	delete(m.missed, e.Node)
+	m.differing++
+	if a.Same || q.Full {
+		m.differing = 0
+	}
 	m.mu.Unlock()
 	if len(a.Entries) > 0 {
 		m.merge(a.Entries, "synced")
@@ -379,6 +448,11 @@
 	own := m.roster.Own()
 	changed := m.roster.Merge(entries)
 	m.mu.Unlock()
+	for _, e := range entries {
+		if e.Node == own.Node && e.Epoch != own.Epoch {
+			m.past(e)
+		}
+	}
 	for _, e := range changed {
 		m.log.Note("entryChanged", log.Fields{"peer": e.Node, "state": e.State, "server": e.Server, "epoch": e.Epoch, "sequence": e.Sequence, "source": source})
 		if e.Node == own.Node {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -91,7 +91,7 @@
 	n.members = members.New(messages.Entry{
 		Node: cfg.Node, Epoch: int(time.Now().UnixMilli()), Zone: cfg.Zone, Service: cfg.Service,
 		Call: cfg.Listen.Call, Peer: cfg.Listen.Peer, State: messages.EntryStateWaiting,
-	}, n.store, n.versions, l)
+	}, n.store, n.versions, l, n.learnPast)
 	n.local = local.New(beat.New(cfg.Service, cfg.Server, cfg.Drain.Std()), n.server, l, n.serverChanged)
 	n.front = front.New(
 		front.Self{Node: cfg.Node, Zone: cfg.Zone, Service: cfg.Service},
@@ -191,20 +191,27 @@
 // serverChanged tells the other nodes what has become of the own server.
 func (n *Node) serverChanged(s local.State) {
 	n.members.Set(func(e *messages.Entry) {
-		e.Server, e.Slots = s.Instance, s.Slots
+		e.Server, e.Slots, e.Started = s.Instance, s.Slots, int(s.Started.UnixMilli())
 		switch {
-		case n.leaving.Load():
+		case s.Leaving:
 			e.State = messages.EntryStateLeaving
+		case n.leaving.Load():
+			e.State = messages.EntryStateStopping
 		case s.Ready:
 			e.State = messages.EntryStateReady
-		case s.Known:
-			e.State = messages.EntryStateLeaving
 		default:
 			e.State = messages.EntryStateWaiting
 		}
 	})
 }
 
+// learnPast takes what an earlier process of this node said.
+func (n *Node) learnPast(e messages.Entry) {
+	if e.State == messages.EntryStateLeaving && e.Server != "" {
+		n.local.Forbid(e.Server, time.UnixMilli(int64(e.Started)))
+	}
+}
+
 // Stop ends the node without cutting off a request: it says that it leaves, goes
 // on serving until its clients have heard of it, refuses what comes later,
 // finishes what it took, and ends.
--- a/internal/mesh/versions/versions.go
+++ b/internal/mesh/versions/versions.go
@@ -38,7 +38,10 @@
 	watchTime = 30 * time.Second
 	// gatherTime is the pause after a change, so that versions in quick
 	// succession are read together. A version has two seconds to be in force.
-	gatherTime = 400 * time.Millisecond
+	gatherTime = 800 * time.Millisecond
+	// largeContent is the size of a document from which on the newest is read after
+	// the pause, instead of each one since: a watch returns them all.
+	largeContent = 32 << 10
 	// checkEvery is the usual time between two checks that the store answers and
 	// that the watch has missed nothing: a watch may wait on a connection that
 	// went silent. A check reads an older copy, which costs a tenth of a call.
@@ -160,6 +163,9 @@
 			since = next
 			if changed {
 				wait.For(ctx, gatherTime)
+				if f.size() > largeContent {
+					since = 0
+				}
 			}
 			continue
 		}
@@ -180,6 +186,13 @@
 	}
 }
 
+// size returns the length of the document in force.
+func (f *Follower) size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.content)
+}
+
 // step makes one call and returns the revision from which to watch.
 func (f *Follower) step(ctx context.Context, since uint64) (uint64, error) {
 	path, limit := platform.ConfigList(false), callLimit
--- a/schema/roster/roster.gen.go
+++ b/schema/roster/roster.gen.go
@@ -30,8 +30,12 @@
 	// Requests that the backend server runs at once.
 	Slots int `json:"slots"`
 
+	// Start of the backend server by its own clock, in Unix milliseconds.
+	Started int `json:"started"`
+
 	// waiting: the node has not heard of its server; ready: it takes requests;
-	// leaving: it takes no new ones.
+	// leaving: the server takes no new ones and never will again; stopping: the node
+	// ends, its server may stay.
 	State EntryState `json:"state"`
 
 	// Availability zone.
@@ -42,6 +46,7 @@
 
 const EntryStateLeaving EntryState = "leaving"
 const EntryStateReady EntryState = "ready"
+const EntryStateStopping EntryState = "stopping"
 const EntryStateWaiting EntryState = "waiting"
 
 // Messages by which nodes learn of each other and of configurations.
@@ -70,6 +75,9 @@
 	// Entries corresponds to the JSON schema field "entries".
 	Entries []Entry `json:"entries,omitempty,omitzero"`
 
+	// The digests are equal.
+	Same bool `json:"same"`
+
 	// Version of the configuration in force.
 	Version int `json:"version"`
 }
@@ -82,6 +90,9 @@
 	// Entries of the asking node, when it starts.
 	Entries []Entry `json:"entries,omitempty,omitzero"`
 
+	// Asks for all entries when the digests differ.
+	Full bool `json:"full"`
+
 	// Version of the configuration in force.
 	Version int `json:"version"`
 }
