--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -29,9 +29,15 @@
 const (
 	// fadeTime is the age at which a reported load says nothing any more.
 	fadeTime = 1 * time.Second
-	// zoneCharge is the score of leaving the zone: about a third of a server's
-	// slots.
-	zoneCharge = 0.35
+	// zoneCharge is the score of leaving the zone: half of a server's slots.
+	zoneCharge = 0.5
+	// queueFactor is how much more a waiting request counts than a running one.
+	queueFactor = 3
+	// tookCharge is the score of a usual running time as long as the time that is
+	// left, so that faster servers are preferred while they have room.
+	tookCharge = 0.6
+	// tookFade is the age at which a usual running time says nothing any more.
+	tookFade = 5 * time.Second
 	// byteCharge is added to zoneCharge for each megabyte that would leave the
 	// zone.
 	byteCharge = 20.0
@@ -165,10 +171,16 @@
 	if n.guess > n.outstanding {
 		expected += fade * float64(n.guess-n.outstanding)
 	}
-	s += (expected + 1) / float64(max(e.Slots, 1))
-	s += failCharge * fade * n.load.Failing
+	load := (expected + 1) / float64(max(e.Slots, 1))
+	if load > 1 {
+		load = 1 + queueFactor*(load-1)
+	}
+	s += load + failCharge*fade*n.load.Failing
 	if took := n.took[r.Class]; took > r.Left {
 		s += lateCharge * fade
+	} else if r.Left > 0 {
+		age := min(1, float64(now.Sub(n.reported))/float64(tookFade))
+		s += tookCharge * (1 - age) * float64(took) / float64(r.Left)
 	}
 	return s
 }
