--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -244,6 +244,9 @@
 	return nil
 }
 
+// Kill ends the node at once, as a test of sudden ends needs it.
+func (n *Node) Kill() { n.close() }
+
 func (n *Node) close() {
 	n.cancel()
 	for _, s := range n.servers {
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,521 @@
+package mesh_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"lavenderdeal/internal/lines"
+	"lavenderdeal/internal/mesh"
+	"lavenderdeal/internal/units"
+	"lavenderdeal/internal/wait"
+	"lavenderdeal/platform/platformtest"
+	settings "lavenderdeal/schema/meshsettings"
+)
+
+// settleLimit is how long a change may take to reach all nodes of a test.
+const settleLimit = 5 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m, goleak.Cleanup(func(int) {})) }
+
+// fleet is a store and nodes with their backend servers.
+type fleet struct {
+	t     testing.TB
+	store *platformtest.Store
+	nodes []*member
+	ids   atomic.Uint64
+}
+
+type member struct {
+	cfg     settings.Settings
+	node    *mesh.Node
+	server  *platformtest.Server
+	log     *bytes.Buffer
+	lines   *lines.Log
+	stopped bool
+}
+
+func routes() []platformtest.Route {
+	return []platformtest.Route{
+		{Name: "stock", Host: "depot.example", Prefix: "/stock/", Kind: "safe", TimeoutMs: 1000, TargetMs: 500, MaxServers: 2, Service: "availability"},
+		{Name: "booking", Host: "depot.example", Prefix: "/booking/", Kind: "unsafe", TimeoutMs: 1000, TargetMs: 500, Rank: 1, MaxServers: 2, Service: "bookings"},
+		{Name: "photos", Host: "depot.example", Prefix: "/photos/", Kind: "upload", TimeoutMs: 2000, TargetMs: 500, Rank: 2, MaxServers: 2, Service: "bookings"},
+	}
+}
+
+func newFleet(t testing.TB) *fleet {
+	f := &fleet{t: t, store: platformtest.NewStore(t)}
+	f.configure(1, routes())
+	return f
+}
+
+func (f *fleet) configure(version int, list []platformtest.Route) {
+	f.store.Configure(platformtest.Config{Version: version, Routes: list, Services: []string{"availability", "bookings"}})
+}
+
+func freeAddr(t testing.TB) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// add starts a node beside a new server that has not spoken yet.
+func (f *fleet) add(zone, service string, slots int) *member {
+	f.t.Helper()
+	name := fmt.Sprintf("node-%d", len(f.nodes)+1)
+	m := &member{server: platformtest.NewServer(f.t, service, "i-"+name, slots)}
+	m.cfg = settings.Settings{
+		Node: name, Zone: zone, Service: service, Server: m.server.Addr(), Store: f.store.Addr(),
+		PeerKey: "a key of sixteen characters", Memory: 256,
+		Drain: units.Duration(time.Second), Grace: units.Duration(3 * time.Second),
+		Listen:  settings.Listen{Caller: freeAddr(f.t), Call: freeAddr(f.t), Ready: freeAddr(f.t), Control: freeAddr(f.t), Peer: freeAddr(f.t)},
+		Repeats: settings.Repeats{Ratio: 0.2, Slack: 60, Window: units.Duration(10 * time.Second)},
+	}
+	f.start(m)
+	f.nodes = append(f.nodes, m)
+	f.t.Cleanup(func() { f.stop(m) })
+	return m
+}
+
+func (f *fleet) start(m *member) {
+	f.t.Helper()
+	m.log = &bytes.Buffer{}
+	m.lines = lines.New(m.log, m.cfg.Node)
+	node, err := mesh.Start(m.cfg, m.lines)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	m.node, m.stopped = node, false
+}
+
+func (f *fleet) stop(m *member) {
+	if m.stopped {
+		return
+	}
+	m.stopped = true
+	m.node.Kill()
+	m.node.Flush()
+	if f.t.Failed() {
+		f.t.Logf("log of %s:\n%s", m.cfg.Node, m.log)
+	}
+}
+
+func (m *member) beat(t testing.TB, state string) {
+	t.Helper()
+	status, err := m.server.Beat(m.cfg.Listen.Control, state)
+	if err != nil || status != http.StatusOK {
+		t.Fatalf("heartbeat: status %d, error %v", status, err)
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status     int
+	body       string
+	signed     bool
+	retryAfter string
+	id         string
+}
+
+func (f *fleet) call(at *member, method, uri, body string) (answer, error) {
+	return f.callWith(context.Background(), at, method, uri, body, nil)
+}
+
+func (f *fleet) callWith(ctx context.Context, at *member, method, uri, body string, header http.Header) (answer, error) {
+	var content io.Reader
+	if body != "" {
+		content = strings.NewReader(body)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+at.cfg.Listen.Caller.String()+uri, content)
+	if err != nil {
+		return answer{}, err
+	}
+	r.Host = "depot.example"
+	r.Header = header.Clone()
+	if r.Header == nil {
+		r.Header = http.Header{}
+	}
+	if r.Header.Get("Request-Id") == "" {
+		r.Header.Set("Request-Id", fmt.Sprintf("r%d", f.ids.Add(1)))
+	}
+	if r.Header.Get("Deadline-Ms") == "" {
+		r.Header.Set("Deadline-Ms", "900")
+	}
+	r.Close = true
+	raw, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{}, err
+	}
+	defer raw.Body.Close()
+	got, err := io.ReadAll(raw.Body)
+	return answer{
+		status: raw.StatusCode, body: string(got), signed: raw.Header.Get("Response-Signature") != "",
+		retryAfter: raw.Header.Get("Retry-After"), id: raw.Header.Get("Request-Id"),
+	}, err
+}
+
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	if !wait.Until(context.Background(), settleLimit, holds) {
+		f.t.Fatalf("not within %s: %s", settleLimit, what)
+	}
+}
+
+// served waits until a call is served.
+func (f *fleet) served(at *member, uri string) {
+	f.t.Helper()
+	f.eventually("a call of "+uri+" is served", func() bool {
+		a, err := f.call(at, http.MethodGet, uri, "")
+		return err == nil && a.status == http.StatusOK
+	})
+}
+
+func assertStatus(t testing.TB, a answer, err error, status int) {
+	t.Helper()
+	if err != nil || a.status != status {
+		t.Fatalf("got %+v, error %v, want status %d", a, err, status)
+	}
+}
+
+func assertRefusal(t testing.TB, a answer, err error) {
+	t.Helper()
+	assertStatus(t, a, err, http.StatusServiceUnavailable)
+	if a.signed || a.retryAfter == "" {
+		t.Fatalf("a refusal is the node's own and says when to come back, got %+v", a)
+	}
+}
+
+// pair is a node without servers of the called service, and one with.
+func pair(t *testing.T) (*fleet, *member, *member) {
+	f := newFleet(t)
+	near := f.add("a", "bookings", 4)
+	far := f.add("b", "availability", 4)
+	near.beat(t, "ready")
+	far.beat(t, "ready")
+	f.served(near, "/stock/1")
+	f.served(far, "/booking/1")
+	return f, near, far
+}
+
+func TestRequest(t *testing.T) {
+	f, near, far := pair(t)
+	t.Run("it reaches a server of another node unchanged", func(t *testing.T) {
+		header := http.Header{"Request-Id": {"unchanged"}, "Caller-Service": {"forged"}, "X-Note": {"kept"}, "Lavenderdeal-Call": {"forged"}}
+		a, err := f.callWith(context.Background(), near, http.MethodGet, "/stock/a%2Fb?q=1&r", "", header)
+		assertStatus(t, a, err, http.StatusOK)
+		runs := far.server.Runs()
+		got := runs[len(runs)-1]
+		if got.URI != "/stock/a%2Fb?q=1&r" || got.ID != "unchanged" || got.Host != "depot.example" || got.Origin != "bookings" {
+			t.Fatalf("ran %+v", got)
+		}
+		if !a.signed || a.id != "unchanged" {
+			t.Fatalf("got %+v", a)
+		}
+	})
+	t.Run("a long body arrives whole", func(t *testing.T) {
+		body := strings.Repeat("0123456789", 30_000)
+		a, err := f.call(far, http.MethodPost, "/photos/1", body)
+		assertStatus(t, a, err, http.StatusOK)
+		runs := near.server.Runs()
+		if got := runs[len(runs)-1].Body; got != body {
+			t.Fatalf("%d bytes arrived, sent %d", len(got), len(body))
+		}
+	})
+	t.Run("a path without a route is not found", func(t *testing.T) {
+		a, err := f.call(near, http.MethodGet, "/nothing/", "")
+		assertStatus(t, a, err, http.StatusNotFound)
+	})
+	t.Run("a body over the limit is refused", func(t *testing.T) {
+		a, err := f.call(near, http.MethodPost, "/booking/1", strings.Repeat("x", 512<<10+1))
+		assertStatus(t, a, err, http.StatusRequestEntityTooLarge)
+	})
+	t.Run("the time that is handed on is what is left", func(t *testing.T) {
+		a, err := f.callWith(context.Background(), near, http.MethodGet, "/stock/1", "", http.Header{"Deadline-Ms": {"300"}})
+		assertStatus(t, a, err, http.StatusOK)
+		runs := far.server.Runs()
+		if left := runs[len(runs)-1].Left; len(left) != 3 || left > "300" {
+			t.Fatalf("the server was handed %s ms", left)
+		}
+	})
+}
+
+func TestRepeats(t *testing.T) {
+	f, near, far := pair(t)
+	second := f.add("b", "availability", 4)
+	second.beat(t, "ready")
+	f.eventually("both servers are used", func() bool {
+		_, _ = f.call(near, http.MethodGet, "/stock/1", "")
+		return len(second.server.Runs()) > 0
+	})
+	fail := func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("Response-Signature", "failed")
+		w.WriteHeader(http.StatusInternalServerError)
+		return true
+	}
+	t.Run("an idempotent request that fails is sent to another server", func(t *testing.T) {
+		far.server.SetAnswer(fail)
+		defer far.server.SetAnswer(nil)
+		before := len(far.server.Runs())
+		f.eventually("the failing server is asked and the other one answers", func() bool {
+			a, err := f.call(near, http.MethodGet, "/stock/2", "")
+			assertStatus(t, a, err, http.StatusOK)
+			return len(far.server.Runs()) > before
+		})
+	})
+	t.Run("one that must not repeat runs once", func(t *testing.T) {
+		near.server.SetAnswer(fail)
+		defer near.server.SetAnswer(nil)
+		before := len(near.server.Runs())
+		a, err := f.call(far, http.MethodPost, "/booking/once", "")
+		assertStatus(t, a, err, http.StatusInternalServerError)
+		if n := len(near.server.Runs()) - before; n != 1 || !a.signed {
+			t.Fatalf("ran %d times, got %+v", n, a)
+		}
+	})
+	t.Run("a broken answer is a failure that promises nothing", func(t *testing.T) {
+		near.server.SetAnswer(func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("Response-Signature", "short")
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "short")
+			panic(http.ErrAbortHandler)
+		})
+		defer near.server.SetAnswer(nil)
+		a, err := f.call(far, http.MethodPost, "/booking/broken", "")
+		assertStatus(t, a, err, http.StatusBadGateway)
+		if a.signed {
+			t.Fatal("the failure bears the server's signature")
+		}
+	})
+	t.Run("a refusal that the server does not prove is passed on as a failure", func(t *testing.T) {
+		near.server.SetAnswer(func(w http.ResponseWriter, _ *http.Request) bool {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return true
+		})
+		defer near.server.SetAnswer(nil)
+		a, err := f.call(far, http.MethodPost, "/booking/unproved", "")
+		assertStatus(t, a, err, http.StatusBadGateway)
+	})
+	t.Run("an encoded body is not the server's", func(t *testing.T) {
+		near.server.SetAnswer(func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("Response-Signature", "signed")
+			w.Header().Set("Content-Encoding", "gzip")
+			_, _ = io.WriteString(w, "not zipped")
+			return true
+		})
+		defer near.server.SetAnswer(nil)
+		a, err := f.call(far, http.MethodPost, "/booking/encoded", "")
+		assertStatus(t, a, err, http.StatusBadGateway)
+	})
+}
+
+func TestDiscovery(t *testing.T) {
+	f, near, far := pair(t)
+	t.Run("a server that leaves gets nothing after its time", func(t *testing.T) {
+		far.beat(t, "draining")
+		time.Sleep(far.cfg.Drain.Std())
+		before := len(far.server.Runs())
+		a, err := f.call(near, http.MethodGet, "/stock/1", "")
+		assertRefusal(t, a, err)
+		if len(far.server.Runs()) != before {
+			t.Fatal("the server got a request")
+		}
+	})
+	t.Run("also not from the next process of its node", func(t *testing.T) {
+		f.stop(far)
+		f.start(far)
+		f.eventually("the node has heard what it said", func() bool {
+			status, err := far.server.Beat(far.cfg.Listen.Control, "ready")
+			return err == nil && status == http.StatusOK
+		})
+		time.Sleep(500 * time.Millisecond)
+		before := len(far.server.Runs())
+		a, err := f.call(near, http.MethodGet, "/stock/1", "")
+		assertRefusal(t, a, err)
+		if len(far.server.Runs()) != before {
+			t.Fatal("the server got a request")
+		}
+	})
+	t.Run("a forged heartbeat is refused", func(t *testing.T) {
+		foreign := platformtest.NewServer(t, "bookings", "i-forged", 1000)
+		status, err := foreign.Beat(near.cfg.Listen.Control, "ready")
+		if err != nil || status != http.StatusBadRequest {
+			t.Fatalf("status %d, error %v", status, err)
+		}
+		f.served(far, "/booking/1")
+	})
+	t.Run("a server that has ended is not waited for", func(t *testing.T) {
+		near.server.End()
+		started := time.Now()
+		f.eventually("calls are refused", func() bool {
+			a, err := f.call(far, http.MethodPost, "/booking/1", "")
+			return err == nil && a.status == http.StatusServiceUnavailable
+		})
+		if took := time.Since(started); took > time.Second {
+			t.Fatalf("refused after %s", took)
+		}
+	})
+}
+
+func TestVersions(t *testing.T) {
+	f, near, far := pair(t)
+	moved := routes()
+	moved[0].Prefix = "/moved/"
+	t.Run("a version is in force at all nodes", func(t *testing.T) {
+		f.configure(5, moved)
+		f.served(near, "/moved/1")
+		f.served(far, "/moved/1")
+		a, err := f.call(near, http.MethodGet, "/stock/1", "")
+		assertStatus(t, a, err, http.StatusNotFound)
+	})
+	t.Run("an older one is not", func(t *testing.T) {
+		f.configure(4, routes())
+		time.Sleep(1500 * time.Millisecond)
+		a, err := f.call(near, http.MethodGet, "/stock/1", "")
+		assertStatus(t, a, err, http.StatusNotFound)
+	})
+	t.Run("an unreadable one is not, and the next is", func(t *testing.T) {
+		f.store.Put("config", "main", []byte(`{"version":"00000006","routes":{"columns":["name"],"rows":[["x"]]}}`))
+		f.configure(7, routes())
+		f.served(near, "/stock/1")
+	})
+	t.Run("the store forgets its history", func(t *testing.T) {
+		f.store.Forget()
+		f.configure(8, moved)
+		f.served(near, "/moved/1")
+	})
+	t.Run("a watch that hangs is ended", func(t *testing.T) {
+		f.store.SetSilent(true)
+		time.Sleep(2500 * time.Millisecond)
+		f.configure(9, routes())
+		f.store.SetSilent(false)
+		f.served(near, "/stock/1")
+		f.served(far, "/stock/1")
+	})
+	t.Run("a node that starts while the store is away asks the others", func(t *testing.T) {
+		f.store.SetRefusing(true)
+		defer f.store.SetRefusing(false)
+		a, err := f.call(near, http.MethodGet, "/stock/1", "")
+		assertStatus(t, a, err, http.StatusOK)
+		before := f.store.Calls()
+		time.Sleep(3 * time.Second)
+		if n := f.store.Calls() - before; n > 40 {
+			t.Fatalf("two nodes made %d calls in 3 s to a store that refuses", n)
+		}
+	})
+}
+
+func TestStop(t *testing.T) {
+	f, near, far := pair(t)
+	far.server.SetTook(300 * time.Millisecond)
+	var group errgroup.Group
+	group.Go(func() error {
+		a, err := f.call(near, http.MethodGet, "/stock/slow", "")
+		if err != nil || a.status != http.StatusOK {
+			t.Errorf("cut off: %+v, error %v", a, err)
+		}
+		return nil
+	})
+	time.Sleep(50 * time.Millisecond)
+	group.Go(func() error {
+		far.stopped = true
+		return far.node.Stop()
+	})
+	time.Sleep(100 * time.Millisecond)
+	t.Run("others stop sending at once", func(t *testing.T) {
+		before := len(far.server.Runs())
+		a, err := f.call(near, http.MethodGet, "/stock/1", "")
+		assertRefusal(t, a, err)
+		if len(far.server.Runs()) != before {
+			t.Fatal("the server got a request")
+		}
+	})
+	t.Run("the platform hears that the node is not ready", func(t *testing.T) {
+		answer, err := http.Get("http://" + far.cfg.Listen.Ready.String() + "/ready")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer answer.Body.Close()
+		if answer.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("status %d", answer.StatusCode)
+		}
+	})
+	t.Run("callers are served until they have heard", func(t *testing.T) {
+		a, err := f.call(far, http.MethodPost, "/booking/1", "")
+		assertStatus(t, a, err, http.StatusOK)
+	})
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCallerLeaves(t *testing.T) {
+	f, near, far := pair(t)
+	ended := make(chan time.Time, 1)
+	far.server.SetAnswer(func(_ http.ResponseWriter, r *http.Request) bool {
+		<-r.Context().Done()
+		ended <- time.Now()
+		panic(http.ErrAbortHandler)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		_, _ = f.callWith(ctx, near, http.MethodGet, "/stock/1", "", nil)
+		return nil
+	})
+	time.Sleep(100 * time.Millisecond)
+	cancel()
+	left := time.Now()
+	_ = group.Wait()
+	select {
+	case at := <-ended:
+		if took := at.Sub(left); took > 300*time.Millisecond {
+			t.Fatalf("the server worked on for %s", took)
+		}
+	case <-time.After(time.Second):
+		t.Fatal("the server was not told")
+	}
+}
+
+func BenchmarkRequest(b *testing.B) {
+	f := newFleet(b)
+	near := f.add("a", "bookings", 64)
+	far := f.add("b", "availability", 64)
+	for _, m := range []*member{near, far} {
+		if status, err := m.server.Beat(m.cfg.Listen.Control, "ready"); err != nil || status != http.StatusOK {
+			b.Fatal(status, err)
+		}
+	}
+	f.served(near, "/stock/1")
+	client := &http.Client{}
+	b.ResetTimer()
+	for i := range b.N {
+		r, err := http.NewRequest(http.MethodGet, "http://"+near.cfg.Listen.Caller.String()+"/stock/1", nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Host = "depot.example"
+		r.Header.Set("Request-Id", fmt.Sprintf("b%d", i))
+		r.Header.Set("Deadline-Ms", "900")
+		answer, err := client.Do(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+		_ = answer.Body.Close()
+	}
+}
