front, turns: long bodies come in one at a time, and only where they will run

A node now asks before it sends a body of 16 KB or more; the server's node admits one at a time for each 50 Mbit/s of its link, through a gate like that of the server.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -160,6 +160,21 @@
 
 // Offer decides about a new request.
 func (g *Gate) Offer(now time.Time, r Request) Outcome {
+	outcome := g.Expect(now, r)
+	switch outcome.(type) {
+	case Started:
+		g.start(now, r)
+	case Queued:
+		if g.isFull() {
+			g.evict(now)
+		}
+		g.queue = append(g.queue, r)
+	}
+	return outcome
+}
+
+// Expect returns what Offer would decide, and changes nothing.
+func (g *Gate) Expect(now time.Time, r Request) Outcome {
 	if g.closed || g.limit == 0 {
 		return Refused{Rule: RuleClosed}
 	}
@@ -167,10 +182,9 @@
 		return Refused{Rule: RuleDeadline}
 	}
 	if len(g.running) < g.limit && len(g.queue) == 0 {
-		g.start(now, r)
 		return Started{}
 	}
-	if len(g.queue) >= maxQueueFactor*g.limit && !g.evict(now, r) {
+	if g.isFull() && !g.before(now, r, g.queue[g.last(now)]) {
 		return Refused{Rule: RuleFull, RetryAfter: g.retryAfter(len(g.queue))}
 	}
 	need := g.need(r)
@@ -183,7 +197,6 @@
 	default:
 		return Refused{Rule: RuleLate, RetryAfter: g.retryAfter(ahead)}
 	}
-	g.queue = append(g.queue, r)
 	return Queued{Until: r.Deadline.Add(-need / 2)}
 }
 
@@ -300,20 +313,24 @@
 	return float64(late) < room && float64(len(g.queue)-late) < room
 }
 
-// evict refuses the request that would get a slot last, unless that is r.
-func (g *Gate) evict(now time.Time, r Request) bool {
+func (g *Gate) isFull() bool { return len(g.queue) >= maxQueueFactor*g.limit }
+
+// last returns the waiting request that would get a slot last.
+func (g *Gate) last(now time.Time) int {
 	last := 0
 	for i := range g.queue {
 		if !g.before(now, g.queue[i], g.queue[last]) {
 			last = i
 		}
 	}
-	if !g.before(now, r, g.queue[last]) {
-		return false
-	}
+	return last
+}
+
+// evict refuses the request that would get a slot last.
+func (g *Gate) evict(now time.Time) {
+	last := g.last(now)
 	g.decide(g.queue[last].ID, Refused{Rule: RuleFull, RetryAfter: g.retryAfter(len(g.queue))})
 	g.queue = append(g.queue[:last], g.queue[last+1:]...)
-	return true
 }
 
 func (g *Gate) isLate(now time.Time, r Request) bool {
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -59,6 +59,10 @@
 	longestFull = 25 * time.Millisecond
 )
 
+// LongBody is the size in bytes from which on a body is sent only when the node
+// asks for it: it takes 19 ms on a link of 7 Mbit/s.
+const LongBody = 16 << 10
+
 // Load is what an answer says of the server that gave it.
 type Load struct {
 	Running, Queued, Limit int
@@ -102,8 +106,9 @@
 
 	strikes int
 	out     time.Time
-	// full is until when the node is expected to refuse for want of room.
-	full time.Time
+	// full is until when the node is expected to refuse for want of room, and
+	// linkFull until when it is expected to refuse long bodies.
+	full, linkFull time.Time
 }
 
 // Choice is the node for a request.
@@ -137,7 +142,7 @@
 	n := p.nodes[ready[best].Node]
 	return Choice{
 		Entry: ready[best],
-		Full:  n != nil && now.Before(n.full) && now.After(n.out),
+		Full:  n != nil && n.isFull(now, r) && now.After(n.out),
 		Last:  roomy <= 1,
 	}, true
 }
@@ -163,7 +168,7 @@
 	if now.Before(n.out) {
 		s += unreachable + n.out.Sub(now).Seconds()
 	}
-	if now.Before(n.full) {
+	if n.isFull(now, r) {
 		s += fullCharge
 	}
 	fade := 1 - min(1, float64(now.Sub(n.reported))/float64(fadeTime))
@@ -195,7 +200,7 @@
 // Answered ends a request that the node answered.
 func (p *Picker) Answered(now time.Time, e messages.Entry, class string, l Load) {
 	n := p.end(e)
-	n.strikes, n.out, n.full = 0, time.Time{}, time.Time{}
+	n.strikes, n.out, n.full, n.linkFull = 0, time.Time{}, time.Time{}, time.Time{}
 	n.load, n.reported = l, now
 	n.guess = l.Running + l.Queued
 	if l.Took > 0 {
@@ -212,6 +217,15 @@
 	p.at(e).full = now.Add(min(retryAfter, longestFull))
 }
 
+// RefusedLong notes that a node refused a long body for want of room on its link.
+func (p *Picker) RefusedLong(now time.Time, e messages.Entry, retryAfter time.Duration) {
+	p.at(e).linkFull = now.Add(min(retryAfter, longestFull))
+}
+
+func (n *node) isFull(now time.Time, r Request) bool {
+	return now.Before(n.full) || r.Bytes >= LongBody && now.Before(n.linkFull)
+}
+
 // Lost ends a request whose answer nobody waits for any more. It says nothing
 // about the node.
 func (p *Picker) Lost(e messages.Entry) { p.end(e) }
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -27,12 +27,14 @@
 	"github.com/cockroachdb/errors"
 
 	"lavenderdeal/core/budget"
+	"lavenderdeal/core/gate"
 	"lavenderdeal/core/pick"
 	"lavenderdeal/core/routes"
 	"lavenderdeal/core/split"
 	"lavenderdeal/internal/lines"
 	"lavenderdeal/internal/mesh/local"
 	"lavenderdeal/internal/mesh/members"
+	"lavenderdeal/internal/mesh/turns"
 	"lavenderdeal/internal/mesh/versions"
 	"lavenderdeal/io/hop"
 	"lavenderdeal/io/http1"
@@ -60,10 +62,15 @@
 	// maxRetryAfter bounds the advice; callers take no more than a third of the
 	// time they have left.
 	maxRetryAfter = 2 * time.Second
+	// maxDrained bounds what is read of a body that is refused.
+	maxDrained = 1 << 20
 	// spareBody is the size up to which a body of unknown length is read at once.
 	spareBody = 4 << 10
 )
 
+// classTransfer is the class of all long bodies at the link's gate.
+const classTransfer = "transfer"
+
 // The rules that end a request here.
 const (
 	ruleStopping   = "nodeStopping"
@@ -72,6 +79,7 @@
 	ruleNoID       = "noRequestID"
 	ruleBody       = "bodyTooLarge"
 	ruleBodyBroken = "bodyBroken"
+	ruleLinkFull   = "linkFull"
 	ruleFull       = "allServersFull"
 	ruleNoServer   = "noServerKnown"
 	ruleDeadline   = "deadlinePassed"
@@ -92,6 +100,8 @@
 	local    *local.Server
 	pool     *http1.Pool
 	log      *lines.Log
+	// link has a slot for each long body that may come in at once.
+	link     *turns.Queue
 	leaving  atomic.Bool
 	closed   atomic.Bool
 	inFlight atomic.Int64
@@ -102,9 +112,12 @@
 	budget *budget.Budget
 }
 
-// New returns a handler.
-func New(self Self, v *versions.Follower, m *members.Members, l *local.Server, pool *http1.Pool, b budget.Bound, lg *lines.Log) *Front {
-	return &Front{self: self, versions: v, members: m, local: l, pool: pool, log: lg, budget: budget.New(b)}
+// New returns a handler. Transfers is the number of long bodies that may come in
+// over the instance's link at once.
+func New(self Self, v *versions.Follower, m *members.Members, l *local.Server, pool *http1.Pool, b budget.Bound, transfers int, lg *lines.Log) *Front {
+	link := turns.New()
+	link.Change(func(g *gate.Gate) { g.SetLimit(time.Now(), transfers) })
+	return &Front{self: self, versions: v, members: m, local: l, pool: pool, log: lg, link: link, budget: budget.New(b)}
 }
 
 // Leave makes each answer ask its caller to open another connection.
@@ -233,6 +246,11 @@
 
 func readBody(r *http.Request, limit int64) ([]byte, *outcome) {
 	if limit > 0 && r.ContentLength > limit {
+		if r.Header["Expect"] == nil {
+			// A caller that is still sending would get a reset in place of the answer.
+			// An error means that it has gone, and there is nobody to be told.
+			_, _ = io.CopyN(io.Discard, r.Body, maxDrained)
+		}
 		return nil, &outcome{status: http.StatusRequestEntityTooLarge, rule: ruleBody}
 	}
 	if r.ContentLength == 0 {
@@ -396,7 +414,11 @@
 	switch {
 	case err == nil:
 		f.picker.Answered(now, e, q.route.Name, result.Load)
-		if result.Verdict == hop.NotRun && result.RetryAfter > 0 {
+		switch {
+		case result.Verdict != hop.NotRun || result.RetryAfter == 0:
+		case result.Rule == ruleLinkFull:
+			f.picker.RefusedLong(now, e, result.RetryAfter)
+		default:
 			f.picker.Refused(now, e, result.RetryAfter)
 		}
 	case ctx.Err() != nil && result.Verdict == hop.Unknown && errors.Is(ctx.Err(), context.Canceled):
@@ -420,6 +442,7 @@
 	forwarded := *q.http
 	forwarded.Header = cloneHeader(q.http.Header)
 	forwarded.IsAnswer = nil
+	forwarded.Ask = len(q.http.Body) >= pick.LongBody
 	hop.WriteCall(forwarded.Header, c)
 	answer, err := f.pool.Do(ctx, e.Call, &forwarded)
 	if err != nil {
@@ -525,7 +548,14 @@
 		return
 	}
 	arrived := time.Now()
+	done, refused := f.admitBody(r, c)
+	if refused != nil {
+		hop.WriteResult(w.Header(), *refused)
+		w.WriteHeader(http.StatusOK)
+		return
+	}
 	body, failed := readBody(r, 0)
+	done(failed == nil)
 	if failed != nil {
 		http.Error(w, failed.rule, failed.status)
 		return
@@ -561,6 +591,28 @@
 	return b
 }
 
+// admitBody waits until a long body may come in. The link is shared with short
+// requests, which would wait behind the bodies, and a body that comes too late or
+// for a full server was sent in vain.
+func (f *Front) admitBody(r *http.Request, c hop.Call) (done func(read bool), refused *hop.Result) {
+	if r.ContentLength < pick.LongBody {
+		return func(bool) {}, nil
+	}
+	if refused := f.local.Expect(c); refused != nil {
+		return nil, refused
+	}
+	now := time.Now()
+	load := f.local.Load(c.Class)
+	id, full := f.link.Admit(r.Context(), gate.Request{
+		Class: classTransfer, Rank: c.Rank, Patient: c.Patient,
+		Target: now.Add(c.Target - load.Took), Deadline: now.Add(c.Left - load.Took),
+	})
+	if full != nil {
+		return nil, &hop.Result{Verdict: hop.NotRun, Rule: ruleLinkFull, RetryAfter: full.RetryAfter, Load: load}
+	}
+	return func(read bool) { f.link.Done(id, read) }, nil
+}
+
 // forwardedHeader returns the fields that are not of one connection alone.
 func forwardedHeader(from http.Header) http.Header {
 	to := make(http.Header, len(from))
--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -25,6 +25,7 @@
 	"lavenderdeal/core/gate"
 	"lavenderdeal/core/pick"
 	"lavenderdeal/internal/lines"
+	"lavenderdeal/internal/mesh/turns"
 	"lavenderdeal/io/hop"
 	"lavenderdeal/io/http1"
 	"lavenderdeal/platform"
@@ -40,16 +41,15 @@
 
 // The rules that end a request here, beside those of the gate.
 const (
-	RuleNoServer      = "noServer"
-	RuleOtherServer   = "otherServer"
-	RuleUnreachable   = "serverUnreachable"
-	RuleShed          = "serverFull"
-	RuleBroke         = "serverBroke"
-	RuleCallerLeft    = "callerLeft"
-	RuleDeadline      = gate.RuleDeadline
-	RuleSpoilt        = "answerSpoilt"
-	RuleFalseRefusal  = "refusalWithoutProof"
-	ruleWaitedTooLong = "waitedTooLong"
+	RuleNoServer     = "noServer"
+	RuleOtherServer  = "otherServer"
+	RuleUnreachable  = "serverUnreachable"
+	RuleShed         = "serverFull"
+	RuleBroke        = "serverBroke"
+	RuleCallerLeft   = turns.RuleLeft
+	RuleDeadline     = gate.RuleDeadline
+	RuleSpoilt       = "answerSpoilt"
+	RuleFalseRefusal = "refusalWithoutProof"
 )
 
 // State is what the node says of its server to others.
@@ -77,11 +77,10 @@
 	log     *lines.Log
 	changed func(State)
 
+	turns *turns.Queue
+
 	mu      sync.Mutex
 	beats   *beat.Server
-	gate    *gate.Gate
-	next    uint64
-	waiting map[uint64]chan gate.Outcome
 	failing float64
 	// parents are the requests that run on the server, by their ids.
 	parents map[string]Parent
@@ -95,7 +94,7 @@
 func New(beats *beat.Server, pool *http1.Pool, l *lines.Log, changed func(State)) *Server {
 	return &Server{
 		pool: pool, log: l, changed: changed, beats: beats,
-		gate: gate.New(), waiting: make(map[uint64]chan gate.Outcome),
+		turns:   turns.New(),
 		parents: make(map[string]Parent),
 	}
 }
@@ -177,18 +176,7 @@
 
 // applyLocked opens or closes the gate.
 func (s *Server) applyLocked(now time.Time) {
-	s.beats.Apply(now.Add(leaveMargin), s.gate)
-	s.wakeLocked()
-}
-
-// wakeLocked tells waiting requests what was decided about them.
-func (s *Server) wakeLocked() {
-	for _, d := range s.gate.Decisions() {
-		if c := s.waiting[d.ID]; c != nil {
-			delete(s.waiting, d.ID)
-			c <- d.Outcome
-		}
-	}
+	s.turns.Change(func(g *gate.Gate) { s.beats.Apply(now.Add(leaveMargin), g) })
 }
 
 // Parent returns the request with an id if it runs on the server.
@@ -207,8 +195,20 @@
 }
 
 func (s *Server) loadLocked(class string) pick.Load {
-	running, queued, limit := s.gate.Load()
-	return pick.Load{Running: running, Queued: queued, Limit: limit, Failing: s.failing, Took: s.gate.Mean(class)}
+	running, queued, limit, usual := s.turns.Load(class)
+	return pick.Load{Running: running, Queued: queued, Limit: limit, Failing: s.failing, Took: usual}
+}
+
+// Expect says whether a request would be refused now, and why.
+func (s *Server) Expect(c hop.Call) *hop.Result {
+	now := time.Now()
+	refused := s.turns.Expect(request(now, c))
+	if refused == nil {
+		return nil
+	}
+	result := notRun(refused.Rule, refused.RetryAfter)
+	result.Load = s.Load(c.Class)
+	return result
 }
 
 // Run runs a request on the server. The answer is nil unless the verdict is
@@ -216,7 +216,7 @@
 func (s *Server) Run(ctx context.Context, c hop.Call, r *http1.Request) (hop.Result, *http1.Response) {
 	started := time.Now()
 	deadline := started.Add(c.Left)
-	id, instance, refused := s.admit(ctx, started, c, deadline)
+	id, instance, refused := s.admit(ctx, started, c)
 	if refused != nil {
 		refused.Load = s.Load(c.Class)
 		return *refused, nil
@@ -224,10 +224,8 @@
 	waited := time.Since(started)
 	result, answer := s.exchange(ctx, c, r, instance, deadline)
 	result.Waited = waited
+	s.turns.Done(id, result.Verdict == hop.Ran)
 	s.mu.Lock()
-	now := time.Now()
-	s.gate.Done(now, id, result.Verdict == hop.Ran)
-	s.wakeLocked()
 	s.judgeLocked(result, answer)
 	result.Load = s.loadLocked(c.Class)
 	s.mu.Unlock()
@@ -235,63 +233,31 @@
 }
 
 // admit waits until the request has a slot, or returns why it has none.
-func (s *Server) admit(ctx context.Context, now time.Time, c hop.Call, deadline time.Time) (uint64, string, *hop.Result) {
+func (s *Server) admit(ctx context.Context, now time.Time, c hop.Call) (uint64, string, *hop.Result) {
 	s.mu.Lock()
-	m, _, known := s.beats.Current()
+	m, leaves, known := s.beats.Current()
+	if known && m.Leaving && !now.Add(leaveMargin).Before(leaves) {
+		s.applyLocked(now)
+	}
+	s.mu.Unlock()
 	switch {
 	case !known:
-		s.mu.Unlock()
 		return 0, "", notRun(RuleNoServer, 0)
 	case m.ID != c.Instance:
-		s.mu.Unlock()
 		return 0, "", notRun(RuleOtherServer, 0)
 	}
-	s.applyLocked(now)
-	s.next++
-	id := s.next
-	outcome := s.gate.Offer(now, gate.Request{
-		ID: id, Class: c.Class, Inner: c.Inner, Rank: c.Rank,
-		Target: now.Add(c.Target), Deadline: deadline, Patient: c.Patient,
-	})
-	s.wakeLocked()
-	var woken chan gate.Outcome
-	var until time.Time
-	if q, ok := outcome.(gate.Queued); ok {
-		woken = make(chan gate.Outcome, 1)
-		s.waiting[id] = woken
-		until = q.Until
-	}
-	s.mu.Unlock()
-	if woken != nil {
-		outcome = s.await(ctx, id, woken, until)
-	}
-	switch o := outcome.(type) {
-	case gate.Started:
-		return id, m.ID, nil
-	case gate.Refused:
-		return 0, "", notRun(o.Rule, o.RetryAfter)
+	id, refused := s.turns.Admit(ctx, request(now, c))
+	if refused != nil {
+		return 0, "", notRun(refused.Rule, refused.RetryAfter)
 	}
-	return 0, "", notRun(RuleDeadline, 0)
+	return id, m.ID, nil
 }
 
-func (s *Server) await(ctx context.Context, id uint64, woken chan gate.Outcome, until time.Time) gate.Outcome {
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	rule := ruleWaitedTooLong
-	select {
-	case o := <-woken:
-		return o
-	case <-ctx.Done():
-		rule = RuleCallerLeft
-	case <-timer.C:
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.gate.Cancel(id) {
-		delete(s.waiting, id)
-		return gate.Refused{Rule: rule}
+func request(now time.Time, c hop.Call) gate.Request {
+	return gate.Request{
+		Class: c.Class, Inner: c.Inner, Rank: c.Rank, Patient: c.Patient,
+		Target: now.Add(c.Target), Deadline: now.Add(c.Left),
 	}
-	return <-woken
 }
 
 // exchange sends the request and reads the answer for what it says about running.
@@ -312,7 +278,12 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	s.mu.Lock()
-	m, _, _ := s.beats.Current()
+	m, leaves, _ := s.beats.Current()
+	if now := time.Now(); m.ID != instance || m.Leaving && !now.Add(leaveMargin/2).Before(leaves) {
+		// It waited for a slot while the server left.
+		s.mu.Unlock()
+		return *notRun(gate.RuleClosed, 0), nil
+	}
 	s.parents[id] = Parent{Rank: c.Rank, Target: time.Now().Add(c.Target), Deadline: deadline}
 	s.mu.Unlock()
 	answer, err := s.pool.Do(ctx, m.Address, &sent)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -56,6 +56,10 @@
 	quietTime = 100 * time.Millisecond
 	// graceMargin is the part of the grace period that is kept for the end.
 	graceMargin = 500 * time.Millisecond
+	// linkShare is the part of a link, in megabits a second, that one long body may
+	// take: with one at a time on a slow link, short requests wait for few of its
+	// packets.
+	linkShare = 50
 	// hopIdleTime is longer than other nodes keep idle connections.
 	hopIdleTime = 2 * time.Minute
 	// maxBeat bounds a heartbeat.
@@ -96,7 +100,8 @@
 	n.front = front.New(
 		front.Self{Node: cfg.Node, Zone: cfg.Zone, Service: cfg.Service},
 		n.versions, n.members, n.local, n.hops,
-		budget.Bound{Ratio: cfg.Repeats.Ratio, Slack: cfg.Repeats.Slack, Window: cfg.Repeats.Window.Std()}, l,
+		budget.Bound{Ratio: cfg.Repeats.Ratio, Slack: cfg.Repeats.Slack, Window: cfg.Repeats.Window.Std()},
+		max(1, cfg.Link/linkShare), l,
 	)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
--- a/internal/mesh/versions/versions.go
+++ b/internal/mesh/versions/versions.go
@@ -12,6 +12,7 @@
 package versions
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -96,7 +97,10 @@
 // Offer puts a document in force when its version is above that in force. The
 // source says where the document came from.
 func (f *Follower) Offer(content []byte, source string) {
-	if len(content) == 0 {
+	f.mu.Lock()
+	known := bytes.Equal(content, f.content)
+	f.mu.Unlock()
+	if len(content) == 0 || known {
 		return
 	}
 	t, err := platform.ReadConfig(content)
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -79,6 +79,9 @@
 	// Once says that the request must not run twice, so that only connections
 	// that were used a moment ago are used again.
 	Once bool
+	// Ask sends the body only after the other end has asked for it, so that it can
+	// refuse the request first. It costs a round trip.
+	Ask bool
 	// IsAnswer says whether an answer's header belongs to this request. Nil takes
 	// the first answer.
 	IsAnswer func(http.Header) bool
@@ -198,6 +201,16 @@
 	c.buf = appendHead(c.buf[:0], r)
 	written := true
 	var wrote chan error
+	if r.Ask {
+		if _, err := c.Write(c.buf); err != nil {
+			return nil, false, errors.Wrap(err, "write")
+		}
+		answer, _, err := c.read(r, true)
+		if err != nil || answer != nil {
+			return answer, false, err
+		}
+		c.buf = c.buf[:0]
+	}
 	if len(r.Body) <= inlineBody {
 		c.buf = append(c.buf, r.Body...)
 		if _, err := c.Write(c.buf); err != nil {
@@ -213,7 +226,7 @@
 			return nil
 		})
 	}
-	answer, keep, err := c.read(r)
+	answer, keep, err := c.read(r, false)
 	if !written {
 		select {
 		case failed := <-wrote:
@@ -248,16 +261,23 @@
 		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
 		b = append(b, "\r\n"...)
 	}
+	if r.Ask {
+		b = append(b, "Expect: 100-continue\r\n"...)
+	}
 	return append(b, "\r\n"...)
 }
 
-// read returns the answer, and whether the connection may be used again.
-func (c *conn) read(r *Request) (*Response, bool, error) {
+// read returns the answer, and whether the connection may be used again. When
+// asked is set, it returns nil once the other end asks for the body.
+func (c *conn) read(r *Request, asked bool) (*Response, bool, error) {
 	for range maxSkipped {
 		raw, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read answer")
 		}
+		if raw.StatusCode == http.StatusContinue && asked {
+			return nil, true, nil
+		}
 		if raw.StatusCode >= 100 && raw.StatusCode < 200 {
 			continue
 		}
--- a/schema/meshsettings/meshsettings.gen.go
+++ b/schema/meshsettings/meshsettings.gen.go
@@ -45,6 +45,9 @@
 	// Time between SIGTERM and SIGKILL.
 	Grace units.Duration `json:"grace,omitempty,omitzero" yaml:"grace,omitempty"`
 
+	// Bandwidth of the instance's link in megabits a second.
+	Link int `json:"link,omitempty,omitzero" yaml:"link,omitempty"`
+
 	// Listen corresponds to the JSON schema field "listen".
 	Listen Listen `json:"listen" yaml:"listen"`
 
