--- /dev/null
+++ b/core/budget/budget_test.go
@@ -0,0 +1,81 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lavenderdeal/core/budget"
+)
+
+var (
+	epoch = time.Date(2026, 1, 1, 6, 0, 0, 0, time.UTC)
+	bound = budget.Bound{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+)
+
+// Whatever the nodes do, no window holds more repeats over all of them than the
+// bound allows.
+func TestFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 20).Draw(t, "nodes")
+		budgets := make([]*budget.Budget, nodes)
+		for i := range budgets {
+			budgets[i] = budget.New(bound)
+		}
+		type event struct {
+			at    time.Duration
+			again bool
+		}
+		var events []event
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			b := budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")]
+			b.First(epoch.Add(now), "s")
+			events = append(events, event{now, false})
+			if b.Take(epoch.Add(now), "s", nodes) {
+				events = append(events, event{now, true})
+			}
+		}
+		for _, start := range events {
+			first, before, again := 0, 0, 0
+			for _, e := range events {
+				switch in := e.at - start.at; {
+				case in >= 0 && in < bound.Window && e.again:
+					again++
+				case in >= 0 && in < bound.Window:
+					first++
+				case in < 0 && in >= -bound.Window && !e.again:
+					before++
+				}
+			}
+			if float64(again) > bound.Ratio*float64(max(first, before))+bound.Slack {
+				t.Fatalf("%d repeats beside %d first requests, %d in the window before", again, first, before)
+			}
+		}
+	})
+}
+
+func TestWindow(t *testing.T) {
+	b := budget.New(bound)
+	taken := 0
+	for b.Take(epoch, "s", 1) {
+		taken++
+	}
+	t.Run("the slack is used up", func(t *testing.T) {
+		if taken == 0 || float64(taken) > bound.Slack {
+			t.Fatalf("%d repeats", taken)
+		}
+	})
+	t.Run("another service has its own", func(t *testing.T) {
+		if !b.Take(epoch, "other", 1) {
+			t.Fatal("refused")
+		}
+	})
+	t.Run("it is back after the window", func(t *testing.T) {
+		if !b.Take(epoch.Add(bound.Window), "s", 1) {
+			t.Fatal("refused")
+		}
+	})
+}
--- /dev/null
+++ b/core/pick/pick_test.go
@@ -0,0 +1,140 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lavenderdeal/core/pick"
+	messages "lavenderdeal/schema/roster"
+)
+
+var epoch = time.Date(2026, 1, 1, 6, 0, 0, 0, time.UTC)
+
+func entry(node, zone string) messages.Entry {
+	return messages.Entry{Node: node, Zone: zone, Server: "i-" + node, Slots: 10, State: messages.EntryStateReady}
+}
+
+func request() pick.Request {
+	return pick.Request{Zone: "a", Class: "stock", Left: 500 * time.Millisecond, Random: func() float64 { return 0 }}
+}
+
+func ExamplePicker() {
+	var p pick.Picker
+	ready := []messages.Entry{entry("far", "b"), entry("near", "a")}
+	choice, _ := p.Pick(epoch, ready, request())
+	fmt.Println(choice.Entry.Node)
+	// Output: near
+}
+
+func assertPick(t *testing.T, p *pick.Picker, now time.Time, ready []messages.Entry, r pick.Request, want string) {
+	t.Helper()
+	choice, ok := p.Pick(now, ready, r)
+	if !ok || choice.Entry.Node != want {
+		t.Fatalf("picked %q, %v, want %q", choice.Entry.Node, ok, want)
+	}
+}
+
+func TestPick(t *testing.T) {
+	near, other, far := entry("near", "a"), entry("other", "a"), entry("far", "b")
+	answered := func(p *pick.Picker, e messages.Entry, l pick.Load) {
+		p.Sent(e)
+		p.Answered(epoch, e, "stock", l)
+	}
+	t.Run("the less loaded server of the zone", func(t *testing.T) {
+		var p pick.Picker
+		answered(&p, near, pick.Load{Running: 5, Limit: 10})
+		assertPick(t, &p, epoch, []messages.Entry{near, other}, request(), "other")
+	})
+	t.Run("another zone before a queue", func(t *testing.T) {
+		var p pick.Picker
+		answered(&p, near, pick.Load{Running: 10, Queued: 2, Limit: 10})
+		assertPick(t, &p, epoch, []messages.Entry{near, far}, request(), "far")
+	})
+	t.Run("not with a long body", func(t *testing.T) {
+		var p pick.Picker
+		answered(&p, near, pick.Load{Running: 10, Queued: 2, Limit: 10})
+		r := request()
+		r.Bytes = 300 << 10
+		assertPick(t, &p, epoch, []messages.Entry{near, far}, r, "near")
+	})
+	t.Run("a server that fails gets what the others cannot take", func(t *testing.T) {
+		var p pick.Picker
+		answered(&p, near, pick.Load{Running: 1, Limit: 10, Failing: 0.5})
+		answered(&p, other, pick.Load{Running: 9, Limit: 10})
+		assertPick(t, &p, epoch, []messages.Entry{near, other}, request(), "other")
+		answered(&p, other, pick.Load{Running: 10, Queued: 8, Limit: 10})
+		assertPick(t, &p, epoch, []messages.Entry{near, other}, request(), "near")
+	})
+	t.Run("the faster of two idle servers", func(t *testing.T) {
+		var p pick.Picker
+		answered(&p, near, pick.Load{Running: 1, Limit: 10, Took: 300 * time.Millisecond})
+		answered(&p, other, pick.Load{Running: 1, Limit: 10, Took: 100 * time.Millisecond})
+		assertPick(t, &p, epoch, []messages.Entry{near, other}, request(), "other")
+	})
+	t.Run("an old report is forgotten", func(t *testing.T) {
+		var p pick.Picker
+		answered(&p, near, pick.Load{Running: 10, Queued: 30, Limit: 10})
+		assertPick(t, &p, epoch.Add(2*time.Second), []messages.Entry{near, far}, request(), "near")
+	})
+	t.Run("nobody is left", func(t *testing.T) {
+		var p pick.Picker
+		r := request()
+		r.Tried = []string{"near"}
+		if _, ok := p.Pick(epoch, []messages.Entry{near}, r); ok {
+			t.Fatal("picked")
+		}
+	})
+}
+
+// A node that cannot be reached is left out for longer each time, and asked when
+// there is no other.
+func TestUnreachable(t *testing.T) {
+	var p pick.Picker
+	near, far := entry("near", "a"), entry("far", "b")
+	ready := []messages.Entry{near, far}
+	p.Sent(near)
+	first := p.Failed(epoch, near).Sub(epoch)
+	assertPick(t, &p, epoch, ready, request(), "far")
+	assertPick(t, &p, epoch, ready[:1], request(), "near")
+	later := epoch.Add(first)
+	assertPick(t, &p, later, ready, request(), "near")
+	p.Sent(near)
+	if second := p.Failed(later, near).Sub(later); second <= first {
+		t.Fatalf("left out for %s and then %s", first, second)
+	}
+	t.Run("a later start of the node is another one", func(t *testing.T) {
+		next := near
+		next.Epoch++
+		assertPick(t, &p, later, []messages.Entry{next, far}, request(), "near")
+	})
+}
+
+// Under steady overload nodes do not ask a server again that has just refused.
+func TestRefused(t *testing.T) {
+	var p pick.Picker
+	near := entry("near", "a")
+	p.Refused(epoch, near, time.Second)
+	choice, ok := p.Pick(epoch, []messages.Entry{near}, request())
+	if !ok || !choice.Full {
+		t.Fatalf("choice %+v", choice)
+	}
+	t.Run("but soon again", func(t *testing.T) {
+		choice, _ := p.Pick(epoch.Add(30*time.Millisecond), []messages.Entry{near}, request())
+		if choice.Full {
+			t.Fatal("still full")
+		}
+	})
+	t.Run("a full link refuses long bodies alone", func(t *testing.T) {
+		var p pick.Picker
+		p.RefusedLong(epoch, near, time.Second)
+		if choice, _ := p.Pick(epoch, []messages.Entry{near}, request()); choice.Full {
+			t.Fatal("short requests are held off")
+		}
+		long := request()
+		long.Bytes = pick.LongBody
+		if choice, _ := p.Pick(epoch, []messages.Entry{near}, long); !choice.Full {
+			t.Fatal("long bodies are not")
+		}
+	})
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,98 @@
+package roster_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lavenderdeal/core/roster"
+	messages "lavenderdeal/schema/roster"
+)
+
+func entry(node string, epoch, sequence int) messages.Entry {
+	return messages.Entry{Node: node, Epoch: epoch, Sequence: sequence, Service: "depot", State: messages.EntryStateReady, Call: address(node)}
+}
+
+func address(node string) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, node[len(node)-1]}), 80)
+}
+
+func ExampleRoster() {
+	r := roster.New(entry("n1", 1, 0))
+	r.Merge([]messages.Entry{entry("n2", 5, 3), entry("n2", 5, 2)})
+	for _, e := range r.Ready("depot") {
+		fmt.Println(e.Node, e.Sequence)
+	}
+	// Output:
+	// n1 0
+	// n2 3
+}
+
+// Rosters that have heard the same news in any order are equal.
+func TestOrderOfNews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		news := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) messages.Entry {
+			return entry(rapid.SampledFrom([]string{"n2", "n3", "n4"}).Draw(t, "node"), rapid.IntRange(1, 3).Draw(t, "epoch"), rapid.IntRange(0, 3).Draw(t, "sequence"))
+		}), 0, 20).Draw(t, "news")
+		a, b := roster.New(entry("n1", 1, 0)), roster.New(entry("n1", 1, 0))
+		a.Merge(news)
+		for _, i := range rapid.Permutation(indexes(len(news))).Draw(t, "order") {
+			b.Merge(news[i : i+1])
+		}
+		if a.Digest() != b.Digest() {
+			t.Fatalf("%v and %v", a.All(), b.All())
+		}
+		if newer := a.NewerThan(b.All()); len(newer) > 0 {
+			t.Fatalf("newer: %v", newer)
+		}
+	})
+}
+
+func indexes(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+func TestOwnEntry(t *testing.T) {
+	r := roster.New(entry("n1", 5, 0))
+	t.Run("a higher epoch of an earlier process is outdone", func(t *testing.T) {
+		changed := r.Merge([]messages.Entry{entry("n1", 9, 4)})
+		if len(changed) != 1 || changed[0].Epoch != 10 || r.Own().Epoch != 10 {
+			t.Fatalf("changed %v, own %v", changed, r.Own())
+		}
+	})
+	t.Run("it is not forgotten", func(t *testing.T) {
+		if r.Forget("n1") {
+			t.Fatal("forgotten")
+		}
+	})
+	t.Run("each change is newer", func(t *testing.T) {
+		before := r.Own()
+		after := r.Set(func(e *messages.Entry) { e.State = messages.EntryStateLeaving })
+		if after.Sequence <= before.Sequence || len(r.Ready("depot")) != 0 {
+			t.Fatalf("before %v, after %v", before, after)
+		}
+	})
+}
+
+// An address is given to another instance when the first one is gone.
+func TestAddressUsedAgain(t *testing.T) {
+	old, next := entry("n2", 1, 7), entry("n3", 2, 0)
+	next.Call = old.Call
+	for name, order := range map[string][]messages.Entry{"old first": {old, next}, "new first": {next, old}} {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New(entry("n1", 1, 0))
+			for _, e := range order {
+				r.Merge([]messages.Entry{e})
+			}
+			if r.Knows("n2") || !r.Knows("n3") {
+				t.Fatalf("knows %v", r.All())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/split/split_test.go
@@ -0,0 +1,59 @@
+package split_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lavenderdeal/core/routes"
+	"lavenderdeal/core/split"
+)
+
+func ExampleSplitter() {
+	r := &routes.Route{Name: "r", Parts: []routes.Part{{Service: "old", Weight: 3}, {Service: "new", Weight: 1}}}
+	var s split.Splitter
+	for range 4 {
+		fmt.Print(s.Next(r), " ")
+	}
+	// Output: old old new old
+}
+
+// After any number of requests each part has its share to within one request.
+func TestShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 100), 1, 4).Draw(t, "weights")
+		weights[0]++
+		total := 0
+		r := &routes.Route{Name: "r"}
+		for i, w := range weights {
+			r.Parts = append(r.Parts, routes.Part{Service: fmt.Sprint(i), Weight: w})
+			total += w
+		}
+		var s split.Splitter
+		got := make(map[string]int)
+		n := rapid.IntRange(1, 300).Draw(t, "requests")
+		for range n {
+			got[s.Next(r)]++
+		}
+		for i, w := range weights {
+			want := float64(n) * float64(w) / float64(total)
+			if math.Abs(float64(got[fmt.Sprint(i)])-want) > float64(len(weights)) {
+				t.Fatalf("part %d of %v got %d of %d", i, weights, got[fmt.Sprint(i)], n)
+			}
+		}
+	})
+}
+
+func TestNewWeights(t *testing.T) {
+	r := &routes.Route{Name: "r", Parts: []routes.Part{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	var s split.Splitter
+	s.Next(r)
+	moved := &routes.Route{Name: "r", Parts: []routes.Part{{Service: "a", Weight: 0}, {Service: "b", Weight: 1}}}
+	for range 10 {
+		if got := s.Next(moved); got != "b" {
+			t.Fatalf("a service with no weight got a request: %s", got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lines/lines_test.go
@@ -0,0 +1,67 @@
+package lines_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"lavenderdeal/internal/lines"
+)
+
+func TestLines(t *testing.T) {
+	var out bytes.Buffer
+	l := lines.New(&out, "n1")
+	l.Note("refused", log.Fields{"request": "r1", "error": errors.New("no room")})
+	for range 1000 {
+		l.Note("served", log.Fields{"request": "r2"})
+	}
+	l.Close(time.Second)
+	written := strings.Split(strings.TrimSpace(out.String()), "\n")
+	t.Run("each is one JSON object with its kind, node and time", func(t *testing.T) {
+		var record map[string]any
+		if err := json.Unmarshal([]byte(written[0]), &record); err != nil {
+			t.Fatal(err)
+		}
+		if record["kind"] != "refused" || record["node"] != "n1" || record["error"] != "no room" || record["at"] == nil {
+			t.Fatalf("record %v", record)
+		}
+	})
+	t.Run("a kind keeps to its budget", func(t *testing.T) {
+		if len(written) > 100 {
+			t.Fatalf("%d lines", len(written))
+		}
+	})
+	t.Run("what was left out is counted", func(t *testing.T) {
+		if got := l.Totals()["served"]; got != 1000 {
+			t.Fatalf("total %d", got)
+		}
+	})
+	t.Run("nothing is written after the end", func(t *testing.T) {
+		l.Write("late", nil)
+	})
+}
+
+// A reader that stops reading costs lines, not time.
+func TestFullOutput(t *testing.T) {
+	r, w := io.Pipe()
+	defer func() { _ = r.Close() }()
+	l := lines.New(w, "n1")
+	started := time.Now()
+	for range 10_000 {
+		l.Write("served", log.Fields{"request": "r"})
+	}
+	if took := time.Since(started); took > time.Second {
+		t.Fatalf("10,000 lines took %s", took)
+	}
+	started = time.Now()
+	l.Close(50 * time.Millisecond)
+	if took := time.Since(started); took > time.Second {
+		t.Fatalf("the end took %s", took)
+	}
+}
--- /dev/null
+++ b/io/http1/http1_test.go
@@ -0,0 +1,312 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lavenderdeal/io/http1"
+)
+
+// serve runs a server that answers each connection by hand.
+func serve(t testing.TB, fn func(net.Conn, *bufio.Reader)) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			group.Go(func() error {
+				defer func() { _ = conn.Close() }()
+				fn(conn, bufio.NewReader(conn))
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		_ = group.Wait()
+	})
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func newPool(t testing.TB) *http1.Pool {
+	p := http1.New()
+	t.Cleanup(p.Close)
+	return p
+}
+
+// readRequest returns the id of the next request, or "".
+func readRequest(r *bufio.Reader) string {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	return request.Header.Get("Id")
+}
+
+func writeAnswer(w io.Writer, id, body string) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func request(id string) *http1.Request {
+	return &http1.Request{
+		Method: http.MethodPost, URI: "/", Host: "depot", Header: http.Header{"Id": {id}},
+		IsAnswer: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+func do(t testing.TB, p *http1.Pool, addr netip.AddrPort, r *http1.Request) (*http1.Response, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return p.Do(ctx, addr, r)
+}
+
+func assertBody(t testing.TB, a *http1.Response, err error, want string) {
+	t.Helper()
+	if err != nil || string(a.Body) != want {
+		t.Fatalf("got %v, error %v, want %q", a, err, want)
+	}
+}
+
+func assertSent(t testing.TB, err error, want bool) {
+	t.Helper()
+	if err == nil || http1.Sent(err) != want {
+		t.Fatalf("error %v says sent %v, want %v", err, http1.Sent(err), want)
+	}
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for id := readRequest(r); id != ""; id = readRequest(r) {
+			writeAnswer(c, id, id)
+		}
+	})
+	p := newPool(t)
+	for i := range 20 {
+		a, err := do(t, p, addr, request(fmt.Sprint(i)))
+		assertBody(t, a, err, fmt.Sprint(i))
+	}
+	if n := p.Dials(); n != 1 {
+		t.Fatalf("%d connections for 20 requests", n)
+	}
+}
+
+func TestStrayAnswers(t *testing.T) {
+	t.Run("a second answer reaches nobody", func(t *testing.T) {
+		addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+			for id := readRequest(r); id != ""; id = readRequest(r) {
+				writeAnswer(c, id, id)
+				writeAnswer(c, id, "second")
+			}
+		})
+		p := newPool(t)
+		for i := range 200 {
+			a, err := do(t, p, addr, request(fmt.Sprint(i)))
+			assertBody(t, a, err, fmt.Sprint(i))
+		}
+	})
+	t.Run("a late answer where the next is expected is skipped", func(t *testing.T) {
+		addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+			last := ""
+			for id := readRequest(r); id != ""; id = readRequest(r) {
+				if last != "" {
+					writeAnswer(c, last, "late")
+				}
+				writeAnswer(c, id, id)
+				last = id
+			}
+		})
+		p := newPool(t)
+		for i := range 50 {
+			a, err := do(t, p, addr, request(fmt.Sprint(i)))
+			assertBody(t, a, err, fmt.Sprint(i))
+		}
+		if n := p.Dials(); n != 1 {
+			t.Fatalf("%d connections", n)
+		}
+	})
+}
+
+func TestBrokenAnswers(t *testing.T) {
+	for name, answer := range map[string]string{
+		"short body":          "HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 10\r\n\r\nshort",
+		"short chunks":        "HTTP/1.1 200 OK\r\nId: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+		"no answer":           "",
+		"not HTTP":            "\x00\x01\x02 nothing of use\r\n\r\n",
+		"of another request":  "HTTP/1.1 200 OK\r\nId: y\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"header that breaks":  "HTTP/1.1 200 OK\r\nId: x\r\nContent-Le",
+		"negative length":     "HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: -5\r\n\r\n",
+		"two unequal lengths": "HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+				if readRequest(r) != "" {
+					runs.Add(1)
+					_, _ = io.WriteString(c, answer)
+				}
+			})
+			_, err := do(t, newPool(t), addr, request("x"))
+			assertSent(t, err, true)
+			if n := runs.Load(); n != 1 {
+				t.Fatalf("sent %d times", n)
+			}
+		})
+	}
+	t.Run("an answer without a length is whole when the connection ends", func(t *testing.T) {
+		addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: x\r\n\r\nwhole")
+		})
+		a, err := do(t, newPool(t), addr, request("x"))
+		assertBody(t, a, err, "whole")
+	})
+	t.Run("and not when it is reset", func(t *testing.T) {
+		addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: x\r\n\r\npart")
+			time.Sleep(50 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		})
+		_, err := do(t, newPool(t), addr, request("x"))
+		assertSent(t, err, true)
+	})
+}
+
+// A kept connection that breaks under a request is not tried again by itself.
+func TestNeverTwice(t *testing.T) {
+	var runs atomic.Int64
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		id := readRequest(r)
+		runs.Add(1)
+		writeAnswer(c, id, id)
+		if readRequest(r) != "" {
+			runs.Add(1)
+		}
+	})
+	p := newPool(t)
+	a, err := do(t, p, addr, request("first"))
+	assertBody(t, a, err, "first")
+	_, err = do(t, p, addr, request("second"))
+	assertSent(t, err, true)
+	if n := runs.Load(); n != 2 {
+		t.Fatalf("ran %d times", n)
+	}
+}
+
+func TestClosedWhileIdle(t *testing.T) {
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		writeAnswer(c, readRequest(r), "once")
+	})
+	p := newPool(t)
+	for range 5 {
+		a, err := do(t, p, addr, request("x"))
+		assertBody(t, a, err, "once")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestEarlyAnswer(t *testing.T) {
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		writeAnswer(c, "x", "early")
+		_, _ = io.Copy(io.Discard, r)
+	})
+	p := newPool(t)
+	for range 3 {
+		long := request("x")
+		long.Body = []byte(strings.Repeat("0123456789", 1<<20))
+		a, err := do(t, p, addr, long)
+		assertBody(t, a, err, "early")
+	}
+}
+
+func TestAsk(t *testing.T) {
+	var refuse atomic.Bool
+	server := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", "x")
+		if refuse.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n)
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error { _ = server.Serve(listener); return nil })
+	t.Cleanup(func() { _ = server.Close(); _ = group.Wait() })
+	addr := netip.MustParseAddrPort(listener.Addr().String())
+	p := newPool(t)
+	for _, refused := range []bool{false, true, false} {
+		t.Run(fmt.Sprint("refused ", refused), func(t *testing.T) {
+			refuse.Store(refused)
+			r := request("x")
+			r.Ask = true
+			r.Body = make([]byte, 300_000)
+			a, err := do(t, p, addr, r)
+			if refused {
+				if err != nil || a.Status != http.StatusServiceUnavailable {
+					t.Fatalf("got %v, error %v", a, err)
+				}
+				return
+			}
+			assertBody(t, a, err, "300000")
+		})
+	}
+}
+
+func TestFailures(t *testing.T) {
+	t.Run("nobody listens", func(t *testing.T) {
+		addr := serve(t, func(net.Conn, *bufio.Reader) {})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr = netip.MustParseAddrPort(listener.Addr().String())
+		_ = listener.Close()
+		_, err = do(t, newPool(t), addr, request("x"))
+		assertSent(t, err, false)
+	})
+	t.Run("the caller leaves", func(t *testing.T) {
+		closed := make(chan struct{})
+		addr := serve(t, func(_ net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			_, _ = io.Copy(io.Discard, r)
+			close(closed)
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := newPool(t).Do(ctx, addr, request("x"))
+		assertSent(t, err, true)
+		select {
+		case <-closed:
+		case <-time.After(time.Second):
+			t.Fatal("the other end was not told")
+		}
+	})
+}
