--- a/cmd/lavenderdeal/main.go
+++ b/cmd/lavenderdeal/main.go
@@ -87,6 +87,7 @@
 			loadCommand(stdout, stderr),
 			measureCommand(stdout, stderr),
 			standinCommand(stdout, stderr),
+			traceCommand(stdout, stderr),
 			versionCommand(stdout, stderr),
 		},
 	}
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"lavenderdeal/core/budget"
@@ -34,6 +35,7 @@
 	"lavenderdeal/internal/lines"
 	"lavenderdeal/internal/mesh/local"
 	"lavenderdeal/internal/mesh/members"
+	"lavenderdeal/internal/mesh/meter"
 	"lavenderdeal/internal/mesh/turns"
 	"lavenderdeal/internal/mesh/versions"
 	"lavenderdeal/io/hop"
@@ -64,6 +66,8 @@
 	maxRetryAfter = 2 * time.Second
 	// maxDrained bounds what is read of a body that is refused.
 	maxDrained = 1 << 20
+	// sampleOf is the number of successes of which one is logged.
+	sampleOf = 16
 	// spareBody is the size up to which a body of unknown length is read at once.
 	spareBody = 4 << 10
 )
@@ -105,6 +109,7 @@
 	leaving  atomic.Bool
 	closed   atomic.Bool
 	inFlight atomic.Int64
+	meter    *meter.Meter
 
 	mu     sync.Mutex
 	picker pick.Picker
@@ -112,14 +117,42 @@
 	budget *budget.Budget
 }
 
-// New returns a handler. Transfers is the number of long bodies that may come in
-// over the instance's link at once.
-func New(self Self, v *versions.Follower, m *members.Members, l *local.Server, pool *http1.Pool, b budget.Bound, transfers int, lg *lines.Log) *Front {
-	link := turns.New()
-	link.Change(func(g *gate.Gate) { g.SetLimit(time.Now(), transfers) })
-	return &Front{self: self, versions: v, members: m, local: l, pool: pool, log: lg, link: link, budget: budget.New(b)}
+// Option changes a Front while it is built.
+type Option func(*Front)
+
+// WithBudget bounds how often requests are sent to a second server. The default
+// never sends one again.
+func WithBudget(b budget.Bound) Option {
+	return func(f *Front) { f.budget = budget.New(b) }
+}
+
+// WithTransfers sets the number of long bodies that may come in over the
+// instance's link at once. The default is one.
+func WithTransfers(n int) Option {
+	return func(f *Front) { f.link.Change(func(g *gate.Gate) { g.SetLimit(time.Now(), n) }) }
+}
+
+// WithMeter sets where requests are counted.
+func WithMeter(m *meter.Meter) Option {
+	return func(f *Front) { f.meter = m }
 }
 
+// New returns a handler.
+func New(self Self, v *versions.Follower, m *members.Members, l *local.Server, lg *lines.Log, opts ...Option) *Front {
+	f := &Front{
+		self: self, versions: v, members: m, local: l, log: lg, pool: http1.New(),
+		link: turns.New(), budget: budget.New(budget.Bound{Window: time.Second}), meter: &meter.Meter{},
+	}
+	WithTransfers(1)(f)
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Shut ends the kept connections to other nodes.
+func (f *Front) Shut() { f.pool.Close() }
+
 // Leave makes each answer ask its caller to open another connection.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
@@ -150,6 +183,8 @@
 	room time.Duration
 	// full counts nodes that refused for want of room.
 	full int
+	// trail says for the log whom the request was offered to, and what each said.
+	trail []string
 }
 
 // outcome is how a request ended.
@@ -290,6 +325,9 @@
 			return deadlineOutcome(q, last)
 		}
 		choice, ok := f.pick(now, q)
+		if ok && choice.Full && !q.inner {
+			q.trail = append(q.trail, choice.Entry.Node+" full a moment ago")
+		}
 		if !ok || choice.Full && !q.inner {
 			if ok && last.rule == "" {
 				last.rule = ruleFull
@@ -304,6 +342,9 @@
 		if result.Arrived {
 			q.arrivals++
 		}
+		if result.Verdict != hop.Ran {
+			q.trail = append(q.trail, trailOf(e, result))
+		}
 		switch result.Verdict {
 		case hop.Ran:
 			last = outcome{answer: answer, server: e.Node, waited: result.Waited, load: result.Load}
@@ -337,6 +378,11 @@
 	return f.settle(q, last)
 }
 
+// trailOf says what a node answered, and the load that it told.
+func trailOf(e messages.Entry, r hop.Result) string {
+	return e.Node + " " + r.Rule + " " + strconv.Itoa(r.Load.Running) + "+" + strconv.Itoa(r.Load.Queued) + "/" + strconv.Itoa(r.Load.Limit)
+}
+
 // settle ends a request that nobody is left to be asked for.
 func (f *Front) settle(q *request, last outcome) outcome {
 	if last.answer != nil || last.status != 0 {
@@ -514,7 +560,10 @@
 }
 
 func (f *Front) note(kind string, q *request, o outcome, status int) {
-	if !f.log.Allows(kind) {
+	if q.route != nil {
+		f.meter.Observe(meter.Class{Service: q.service, Kind: kindNames[q.route.Kind], Rank: q.route.Rank, Inner: q.inner}, kind, time.Since(q.started))
+	}
+	if kind == "served" && !isSampled(q.id) || !f.log.Allows(kind) {
 		return
 	}
 	fields := log.Fields{
@@ -529,12 +578,25 @@
 		fields["waitedMs"], fields["running"], fields["queued"] = o.waited.Milliseconds(), o.load.Running, o.load.Queued
 		fields["usualMs"], fields["failing"] = o.load.Took.Milliseconds(), o.load.Failing
 	}
+	if len(q.trail) > 0 {
+		fields["asked"] = q.trail
+	}
 	if o.retryAfter > 0 {
 		fields["retryAfterMs"] = o.retryAfter.Milliseconds()
 	}
 	f.log.Write(kind, fields)
 }
 
+// kindNames are the kinds as logs and metrics name them.
+var kindNames = map[routes.Kind]string{routes.Once: "once", routes.Idempotent: "idempotent", routes.Upload: "upload"}
+
+// isSampled says whether a success is logged. All nodes choose the same requests,
+// and a call as the request that makes it, so that what is logged is complete.
+func isSampled(id string) bool {
+	root, _, _ := strings.Cut(id, ".")
+	return xxhash.Sum64String(root)%sampleOf == 0
+}
+
 // Inbound returns the handler of requests that other nodes forward.
 func (f *Front) Inbound() http.Handler { return http.HandlerFunc(f.serveHop) }
 
@@ -550,6 +612,7 @@
 	arrived := time.Now()
 	done, refused := f.admitBody(r, c)
 	if refused != nil {
+		f.noteHop(r, c, *refused)
 		hop.WriteResult(w.Header(), *refused)
 		w.WriteHeader(http.StatusOK)
 		return
@@ -565,6 +628,7 @@
 	result, answer := f.local.Run(r.Context(), c, &http1.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: forwardedHeader(r.Header), Body: body,
 	})
+	f.noteHop(r, c, result)
 	h := w.Header()
 	status := http.StatusOK
 	var content []byte
@@ -591,6 +655,25 @@
 	return b
 }
 
+// noteHop logs what became of a request that another node has forwarded.
+func (f *Front) noteHop(r *http.Request, c hop.Call, result hop.Result) {
+	id := platform.ReadRequest(r.Header).ID
+	kind := "ranHere"
+	if result.Verdict != hop.Ran {
+		kind = "notRunHere"
+	} else if !isSampled(id) {
+		return
+	}
+	if !f.log.Allows(kind) {
+		return
+	}
+	f.log.Write(kind, log.Fields{
+		"request": id, "verdict": string(result.Verdict), "rule": result.Rule, "instance": c.Instance, "origin": c.Origin, "inner": c.Inner,
+		"waitedMs": result.Waited.Milliseconds(), "running": result.Load.Running, "queued": result.Load.Queued, "slots": result.Load.Limit,
+		"usualMs": result.Load.Took.Milliseconds(), "failing": result.Load.Failing, "targetMs": c.Target.Milliseconds(), "leftMs": c.Left.Milliseconds(),
+	})
+}
+
 // admitBody waits until a long body may come in. The link is shared with short
 // requests, which would wait behind the bodies, and a body that comes too late or
 // for a full server was sent in vain.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -34,6 +34,7 @@
 	"lavenderdeal/internal/mesh/front"
 	"lavenderdeal/internal/mesh/local"
 	"lavenderdeal/internal/mesh/members"
+	"lavenderdeal/internal/mesh/meter"
 	"lavenderdeal/internal/mesh/versions"
 	"lavenderdeal/internal/secret"
 	"lavenderdeal/internal/wait"
@@ -77,10 +78,10 @@
 	members  *members.Members
 	versions *versions.Follower
 	store    *store.Client
-	hops     *http1.Pool
 	server   *http1.Pool
 	endpoint *peer.Endpoint
 	servers  []*httpserver.Server
+	meter    meter.Meter
 	leaving  atomic.Bool
 	notReady atomic.Int64
 
@@ -90,7 +91,7 @@
 
 // Start runs a node until Stop.
 func Start(cfg settings.Settings, l *lines.Log) (*Node, error) {
-	n := &Node{cfg: cfg, log: l, hops: http1.New(), server: http1.New(), store: store.New(cfg.Store)}
+	n := &Node{cfg: cfg, log: l, server: http1.New(), store: store.New(cfg.Store)}
 	n.versions = versions.New(n.store, l, nil)
 	n.members = members.New(messages.Entry{
 		Node: cfg.Node, Epoch: int(time.Now().UnixMilli()), Zone: cfg.Zone, Service: cfg.Service,
@@ -99,10 +100,12 @@
 	n.local = local.New(beat.New(cfg.Service, cfg.Server, cfg.Drain.Std()), n.server, l, n.serverChanged)
 	n.front = front.New(
 		front.Self{Node: cfg.Node, Zone: cfg.Zone, Service: cfg.Service},
-		n.versions, n.members, n.local, n.hops,
-		budget.Bound{Ratio: cfg.Repeats.Ratio, Slack: cfg.Repeats.Slack, Window: cfg.Repeats.Window.Std()},
-		max(1, cfg.Link/linkShare), l,
+		n.versions, n.members, n.local, l,
+		front.WithBudget(budget.Bound{Ratio: cfg.Repeats.Ratio, Slack: cfg.Repeats.Slack, Window: cfg.Repeats.Window.Std()}),
+		front.WithTransfers(max(1, cfg.Link/linkShare)),
+		front.WithMeter(&n.meter),
 	)
+	n.serveFigures()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	if err := n.listen(ctx); err != nil {
@@ -131,6 +134,7 @@
 		{n.cfg.Listen.Call, n.front.Inbound()},
 		{n.cfg.Listen.Caller, n.front},
 		{n.cfg.Listen.Ready, http.HandlerFunc(n.serveReady)},
+		{n.cfg.Listen.Metrics, &n.meter},
 	} {
 		s, err := httpserver.Start(l.addr, l.handler, httpserver.WithIdleTime(hopIdleTime))
 		if err != nil {
@@ -141,6 +145,22 @@
 	return nil
 }
 
+// serveFigures says which figures are served beside those of requests.
+func (n *Node) serveFigures() {
+	running := func() float64 { return float64(n.local.Load("").Running) }
+	queued := func() float64 { return float64(n.local.Load("").Queued) }
+	slots := func() float64 { return float64(n.local.Load("").Limit) }
+	n.meter.Gauge("server_running", "requests", "requests that run on the own server", running)
+	n.meter.Gauge("server_queued", "requests", "requests that wait for a slot of the own server", queued)
+	n.meter.Gauge("server_slots", "requests", "requests that the own server runs at once; 0 when it takes none", slots)
+	n.meter.Gauge("server_failing", "parts of one", "recent requests that the own server failed", func() float64 { return n.local.Load("").Failing })
+	n.meter.Gauge("server_connections", "connections", "connections opened to the own server until now", func() float64 { return float64(n.server.Dials()) })
+	n.meter.Gauge("requests_in_flight", "requests", "requests of callers and of other nodes without an answer", func() float64 { return float64(n.front.InFlight()) })
+	n.meter.Gauge("version", "versions", "version of the configuration in force", func() float64 { return float64(n.versions.Version()) })
+	n.meter.Gauge("nodes", "nodes", "known nodes, this one included", func() float64 { return float64(n.members.Len()) })
+	n.meter.Counters("log_lines_total", "kind", "decisions by kind, logged or not", n.log.Totals)
+}
+
 // serveReady answers whether the node takes callers.
 func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
@@ -261,7 +281,7 @@
 		_ = n.endpoint.Close()
 	}
 	_ = n.group.Wait()
-	n.hops.Close()
+	n.front.Shut()
 	n.server.Close()
 	n.store.Close()
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -83,7 +83,7 @@
 		Node: name, Zone: zone, Service: service, Server: m.server.Addr(), Store: f.store.Addr(),
 		PeerKey: "a key of sixteen characters", Memory: 256, Link: 1000,
 		Drain: units.Duration(time.Second), Grace: units.Duration(3 * time.Second),
-		Listen:  settings.Listen{Caller: freeAddr(f.t), Call: freeAddr(f.t), Ready: freeAddr(f.t), Control: freeAddr(f.t), Peer: freeAddr(f.t)},
+		Listen:  settings.Listen{Caller: freeAddr(f.t), Call: freeAddr(f.t), Ready: freeAddr(f.t), Control: freeAddr(f.t), Peer: freeAddr(f.t), Metrics: freeAddr(f.t)},
 		Repeats: settings.Repeats{Ratio: 0.2, Slack: 60, Window: units.Duration(10 * time.Second)},
 	}
 	f.start(m)
@@ -519,3 +519,24 @@
 		_ = answer.Body.Close()
 	}
 }
+
+func TestFigures(t *testing.T) {
+	_, near, _ := pair(t)
+	raw, err := http.Get("http://" + near.cfg.Listen.Metrics.String() + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Body.Close()
+	text, err := io.ReadAll(raw.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		`lavenderdeal_requests_total{service="availability",kind="idempotent",rank="0",inner="false",outcome="served"}`,
+		"lavenderdeal_server_slots 4", "lavenderdeal_version 1", "lavenderdeal_nodes 2", `lavenderdeal_log_lines_total{kind="versionInForce"} 1`,
+	} {
+		if !strings.Contains(string(text), want) {
+			t.Errorf("no %q in\n%s", want, text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/trace/trace_test.go
@@ -0,0 +1,53 @@
+package trace_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"lavenderdeal/internal/trace"
+)
+
+const log = `noise
+0.5 n1 {"at":"2026-01-01T06:00:00.200Z","kind":"served","node":"n1","request":"r1","status":200,"by":"n2","tookMs":100,"rule":""}
+{"at":"2026-01-01T06:00:02.150Z","kind":"ranHere","node":"n2","request":"r1","verdict":"r"}
+{"at":"2026-01-01T06:00:02.100Z","kind":"served","node":"n2","request":"r1.c1","status":200,"by":"n2","tookMs":10,"rule":""}
+{"at":"2026-01-01T06:00:00.100Z","kind":"refused","node":"n1","request":"r2","status":503,"rule":"linkFull"}
+{"at":"2026-01-01T06:00:00.100Z","kind":"versionInForce","node":"n1","version":3}
+`
+
+func Example() {
+	t, err := trace.Read("r2", strings.NewReader(log))
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println(t.Cause())
+	// Output: the link of the server's instance had no room for the body in time: refused, not run
+}
+
+func TestTrace(t *testing.T) {
+	tr, err := trace.Read("r1", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Run("the request and its calls", func(t *testing.T) {
+		if len(tr.Lines) != 3 || tr.Lines[0].Request != "r1.c1" {
+			t.Fatalf("lines %v", tr.Lines)
+		}
+	})
+	t.Run("a clock that differs is shifted", func(t *testing.T) {
+		if got := tr.Shifts["n2"]; got != -1950*time.Millisecond {
+			t.Fatalf("shift %s", got)
+		}
+		if !strings.Contains(tr.String(), "clock of n2 shifted by -1.95s") {
+			t.Fatalf("%s", tr)
+		}
+	})
+	t.Run("nothing is known", func(t *testing.T) {
+		tr, err := trace.Read("r9", strings.NewReader(log))
+		if err != nil || !strings.Contains(tr.Cause(), "no line") {
+			t.Fatalf("%v, error %v", tr, err)
+		}
+	})
+}
--- a/schema/meshsettings/meshsettings.gen.go
+++ b/schema/meshsettings/meshsettings.gen.go
@@ -16,6 +16,9 @@
 	// HTTP for heartbeats of the own backend server.
 	Control netip.AddrPort `json:"control" yaml:"control"`
 
+	// HTTP for counters and latencies as text.
+	Metrics netip.AddrPort `json:"metrics" yaml:"metrics"`
+
 	// JSON-RPC over TCP for control between nodes.
 	Peer netip.AddrPort `json:"peer" yaml:"peer"`
 
