probe: ask a node whether it answers before its requests run out of time

A node that does not answer an idempotent request in twice the usual time is now asked once by a short probe on a new connection, and one that failed is probed by itself instead of by requests.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -48,9 +48,11 @@
 	// spread is the part of the score that is left to chance, so that nodes with
 	// the same view do not all pick the same server.
 	spread = 0.08
-	// firstOut and longestOut bound the time that an unreachable node is left
-	// out; it doubles with each failure in a row.
-	firstOut   = 300 * time.Millisecond
+	// outTime is how long an unreachable node is left out unless it is restored.
+	outTime = 20 * time.Second
+	// firstOut and longestOut bound the time that it is left out all the same; it
+	// doubles with each failure in a row.
+	firstOut   = 200 * time.Millisecond
 	longestOut = 4 * time.Second
 	// fullCharge is above every score of a node that may have room.
 	fullCharge = 100.0
@@ -105,7 +107,9 @@
 	took     map[string]time.Duration
 
 	strikes int
-	out     time.Time
+	// out is until when the node is left out, and least until when it is also if
+	// it is restored.
+	out, least time.Time
 	// full is until when the node is expected to refuse for want of room, and
 	// linkFull until when it is expected to refuse long bodies.
 	full, linkFull time.Time
@@ -226,20 +230,29 @@
 	return now.Before(n.full) || r.Bytes >= LongBody && now.Before(n.linkFull)
 }
 
+// Took returns the usual running time of a class at a node, or zero.
+func (p *Picker) Took(e messages.Entry, class string) time.Duration { return p.at(e).took[class] }
+
 // Lost ends a request whose answer nobody waits for any more. It says nothing
 // about the node.
 func (p *Picker) Lost(e messages.Entry) { p.end(e) }
 
 // Failed ends a request that did not reach the node or was not answered. The
-// node is left out until the returned time.
-func (p *Picker) Failed(now time.Time, e messages.Entry) time.Time {
+// node is left out until it is restored.
+func (p *Picker) Failed(now time.Time, e messages.Entry) {
 	n := p.end(e)
 	if now.Before(n.out) {
-		return n.out
+		return
 	}
 	n.strikes++
-	n.out = now.Add(min(longestOut, firstOut<<min(n.strikes-1, 8)))
-	return n.out
+	n.out = now.Add(outTime)
+	n.least = now.Add(min(longestOut, firstOut<<min(n.strikes-1, 8)))
+}
+
+// Restore notes that a node that failed answers again.
+func (p *Picker) Restore(e messages.Entry) {
+	n := p.at(e)
+	n.out = n.least
 }
 
 func (p *Picker) end(e messages.Entry) *node {
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -87,22 +87,29 @@
 	})
 }
 
-// A node that cannot be reached is left out for longer each time, and asked when
-// there is no other.
+// A node that cannot be reached is left out until it answers, for longer each
+// time, and asked when there is no other.
 func TestUnreachable(t *testing.T) {
 	var p pick.Picker
 	near, far := entry("near", "a"), entry("far", "b")
 	ready := []messages.Entry{near, far}
 	p.Sent(near)
-	first := p.Failed(epoch, near).Sub(epoch)
+	p.Failed(epoch, near)
 	assertPick(t, &p, epoch, ready, request(), "far")
 	assertPick(t, &p, epoch, ready[:1], request(), "near")
-	later := epoch.Add(first)
-	assertPick(t, &p, later, ready, request(), "near")
-	p.Sent(near)
-	if second := p.Failed(later, near).Sub(later); second <= first {
-		t.Fatalf("left out for %s and then %s", first, second)
-	}
+	later := epoch.Add(5 * time.Second)
+	assertPick(t, &p, later, ready, request(), "far")
+	t.Run("until it answers", func(t *testing.T) {
+		p.Restore(near)
+		assertPick(t, &p, later, ready, request(), "near")
+	})
+	t.Run("and for longer when it fails again", func(t *testing.T) {
+		p.Sent(near)
+		p.Failed(later, near)
+		p.Restore(near)
+		assertPick(t, &p, later.Add(300*time.Millisecond), ready, request(), "far")
+		assertPick(t, &p, later.Add(400*time.Millisecond), ready, request(), "near")
+	})
 	t.Run("a later start of the node is another one", func(t *testing.T) {
 		next := near
 		next.Epoch++
--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -36,6 +36,7 @@
 	"lavenderdeal/internal/mesh/local"
 	"lavenderdeal/internal/mesh/members"
 	"lavenderdeal/internal/mesh/meter"
+	"lavenderdeal/internal/mesh/probe"
 	"lavenderdeal/internal/mesh/turns"
 	"lavenderdeal/internal/mesh/versions"
 	"lavenderdeal/io/hop"
@@ -66,6 +67,10 @@
 	maxRetryAfter = 2 * time.Second
 	// maxDrained bounds what is read of a body that is refused.
 	maxDrained = 1 << 20
+	// leastDoubt and doubtFactor, in usual running times, bound the time without an
+	// answer after which a node is asked whether it answers at all.
+	leastDoubt  = 150 * time.Millisecond
+	doubtFactor = 2
 	// sampleOf is the number of successes of which one is logged.
 	sampleOf = 16
 	// spareBody is the size up to which a body of unknown length is read at once.
@@ -110,6 +115,7 @@
 	closed   atomic.Bool
 	inFlight atomic.Int64
 	meter    *meter.Meter
+	prober   *probe.Prober
 
 	mu     sync.Mutex
 	picker pick.Picker
@@ -143,6 +149,7 @@
 		self: self, versions: v, members: m, local: l, log: lg, pool: http1.New(),
 		link: turns.New(), budget: budget.New(budget.Bound{Window: time.Second}), meter: &meter.Meter{},
 	}
+	f.prober = probe.New(f.pool, lg)
 	WithTransfers(1)(f)
 	for _, opt := range opts {
 		opt(f)
@@ -150,8 +157,11 @@
 	return f
 }
 
-// Shut ends the kept connections to other nodes.
-func (f *Front) Shut() { f.pool.Close() }
+// Shut ends the probes of other nodes and the kept connections to them.
+func (f *Front) Shut() {
+	f.prober.Close()
+	f.pool.Close()
+}
 
 // Leave makes each answer ask its caller to open another connection.
 func (f *Front) Leave() { f.leaving.Store(true) }
@@ -456,7 +466,7 @@
 	result, answer, err := f.send(ctx, q, e, c)
 	f.mu.Lock()
 	now = time.Now()
-	var out time.Time
+	failed := false
 	switch {
 	case err == nil:
 		f.picker.Answered(now, e, q.route.Name, result.Load)
@@ -470,15 +480,25 @@
 	case ctx.Err() != nil && result.Verdict == hop.Unknown && errors.Is(ctx.Err(), context.Canceled):
 		f.picker.Lost(e)
 	default:
-		out = f.picker.Failed(now, e)
+		f.picker.Failed(now, e)
+		failed = true
 	}
 	f.mu.Unlock()
-	if err != nil && f.log.Allows("offerFailed") {
-		f.log.Write("offerFailed", log.Fields{"request": q.id, "peer": e.Node, "server": e.Server, "rule": result.Rule, "error": err, "outFor": time.Until(out).String()})
+	if failed {
+		f.prober.Watch(e, func() { f.restore(e) })
+		if f.log.Allows("offerFailed") {
+			f.log.Write("offerFailed", log.Fields{"request": q.id, "peer": e.Node, "server": e.Server, "rule": result.Rule, "error": err})
+		}
 	}
 	return result, answer
 }
 
+func (f *Front) restore(e messages.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.picker.Restore(e)
+}
+
 // send returns an error when the node itself did not answer.
 func (f *Front) send(ctx context.Context, q *request, e messages.Entry, c hop.Call) (hop.Result, *http1.Response, error) {
 	if e.Node == f.self.Node {
@@ -490,6 +510,17 @@
 	forwarded.IsAnswer = nil
 	forwarded.Ask = len(q.http.Body) >= pick.LongBody
 	hop.WriteCall(forwarded.Header, c)
+	if q.route.Kind == routes.Idempotent {
+		limited, cancel := context.WithCancel(ctx)
+		defer cancel()
+		doubt := time.AfterFunc(f.doubtAfter(e, q), func() {
+			if !f.prober.Answers(limited, e) {
+				cancel()
+			}
+		})
+		defer doubt.Stop()
+		ctx = limited
+	}
 	answer, err := f.pool.Do(ctx, e.Call, &forwarded)
 	if err != nil {
 		if !http1.Sent(err) {
@@ -508,6 +539,14 @@
 	return result, answer, nil
 }
 
+// doubtAfter returns the time without an answer after which a node is asked
+// whether it answers at all.
+func (f *Front) doubtAfter(e messages.Entry, q *request) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(leastDoubt, doubtFactor*f.picker.Took(e, q.route.Name))
+}
+
 // refused is the outcome of a request that has not run.
 func (f *Front) refused(q *request, rule string) outcome {
 	left := time.Until(q.deadline)
@@ -601,6 +640,10 @@
 func (f *Front) Inbound() http.Handler { return http.HandlerFunc(f.serveHop) }
 
 func (f *Front) serveHop(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == probe.Path && !hop.IsCall(r.Header) {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	c, err := hop.ReadCall(r.Header)
--- a/io/hop/hop.go
+++ b/io/hop/hop.go
@@ -173,6 +173,9 @@
 	return r, nil
 }
 
+// IsCall says whether a request was forwarded by a node.
+func IsCall(h http.Header) bool { return len(h[headerCall]) > 0 }
+
 // Strip removes what only nodes may say from a caller's header.
 func Strip(h http.Header) {
 	delete(h, headerCall)
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -43,7 +43,7 @@
 const (
 	// dialTimeout is short: the two ends are milliseconds apart, and a request
 	// that reached nobody can go elsewhere.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// unackedLimit ends a connection whose other end does not acknowledge bytes,
 	// as behind a partition.
 	unackedLimit = 2 * time.Second
@@ -79,6 +79,8 @@
 	// Once says that the request must not run twice, so that only connections
 	// that were used a moment ago are used again.
 	Once bool
+	// Fresh takes a new connection.
+	Fresh bool
 	// Ask sends the body only after the other end has asked for it, so that it can
 	// refuse the request first. It costs a round trip.
 	Ask bool
@@ -175,7 +177,7 @@
 // Do sends the request and returns its whole answer. The error is an [Error].
 // When ctx ends, the connection is closed, which tells the other end to stop.
 func (p *Pool) Do(ctx context.Context, to netip.AddrPort, r *Request) (*Response, error) {
-	c, err := p.get(ctx, to, r.Once)
+	c, err := p.get(ctx, to, r)
 	if err != nil {
 		return nil, &Error{Refused: errors.Is(err, syscall.ECONNREFUSED), cause: errors.Wrap(err, "connect")}
 	}
@@ -332,14 +334,14 @@
 	return idleLimit
 }
 
-func (p *Pool) get(ctx context.Context, to netip.AddrPort, once bool) (*conn, error) {
-	for {
+func (p *Pool) get(ctx context.Context, to netip.AddrPort, r *Request) (*conn, error) {
+	for !r.Fresh {
 		c := p.take(to)
 		if c == nil {
 			break
 		}
 		age := time.Since(c.since)
-		if age <= c.keep && (!once || age <= freshLimit) && c.isSilent() {
+		if age <= c.keep && (!r.Once || age <= freshLimit) && c.isSilent() {
 			return c, nil
 		}
 		_ = c.Close()
