--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -96,13 +96,25 @@
 }
 
 // Ready returns the nodes whose servers of a service take requests, in order of
-// their names. The slice is never changed.
+// their names. When there are none, it returns those that still finish: they go
+// on for some seconds, and refuse what comes too late. The slice is never changed.
 func (r *Roster) Ready(service string) []messages.Entry {
 	if r.stale {
 		r.ready = make(map[string][]messages.Entry)
+		finishing := make(map[string][]messages.Entry)
 		for _, e := range r.All() {
-			if e.State == messages.EntryStateReady {
+			switch e.State {
+			case messages.EntryStateReady:
 				r.ready[e.Service] = append(r.ready[e.Service], e)
+			case messages.EntryStateStopping, messages.EntryStateLeaving:
+				if e.Server != "" {
+					finishing[e.Service] = append(finishing[e.Service], e)
+				}
+			}
+		}
+		for name, entries := range finishing {
+			if len(r.ready[name]) == 0 {
+				r.ready[name] = entries
 			}
 		}
 		r.stale = false
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -80,6 +80,29 @@
 	})
 }
 
+// The last server of a service is used until it takes nothing more, as when the
+// nodes of three servers are restarted while one of the servers leaves.
+func TestFinishing(t *testing.T) {
+	finishing := func(node string, state messages.EntryState) messages.Entry {
+		e := entry(node, 1, 1)
+		e.Server, e.State = "i-"+node, state
+		return e
+	}
+	r := roster.New(messages.Entry{Node: "n1", Service: "other", State: messages.EntryStateReady})
+	r.Merge([]messages.Entry{finishing("n2", messages.EntryStateStopping), finishing("n3", messages.EntryStateLeaving), finishing("n4", messages.EntryStateWaiting)})
+	t.Run("while there is no other", func(t *testing.T) {
+		if got := r.Ready("depot"); len(got) != 2 {
+			t.Fatalf("got %v", got)
+		}
+	})
+	t.Run("and not beside one that is ready", func(t *testing.T) {
+		r.Merge([]messages.Entry{entry("n5", 1, 1)})
+		if got := r.Ready("depot"); len(got) != 1 || got[0].Node != "n5" {
+			t.Fatalf("got %v", got)
+		}
+	})
+}
+
 // An address is given to another instance when the first one is gone.
 func TestAddressUsedAgain(t *testing.T) {
 	old, next := entry("n2", 1, 7), entry("n3", 2, 0)
