--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -61,6 +61,8 @@
 	// take: with one at a time on a slow link, short requests wait for few of its
 	// packets.
 	linkShare = 50
+	// leastTransfers is two, since one sender may be slow.
+	leastTransfers = 2
 	// hopIdleTime is longer than other nodes keep idle connections.
 	hopIdleTime = 2 * time.Minute
 	// maxBeat bounds a heartbeat.
@@ -102,7 +104,7 @@
 		front.Self{Node: cfg.Node, Zone: cfg.Zone, Service: cfg.Service},
 		n.versions, n.members, n.local, l,
 		front.WithBudget(budget.Bound{Ratio: cfg.Repeats.Ratio, Slack: cfg.Repeats.Slack, Window: cfg.Repeats.Window.Std()}),
-		front.WithTransfers(max(1, cfg.Link/linkShare)),
+		front.WithTransfers(max(leastTransfers, cfg.Link/linkShare)),
 		front.WithMeter(&n.meter),
 	)
 	n.serveFigures()
--- a/internal/mesh/versions/versions.go
+++ b/internal/mesh/versions/versions.go
@@ -39,10 +39,12 @@
 	watchTime = 30 * time.Second
 	// gatherTime is the pause after a change, so that versions in quick
 	// succession are read together. A version has two seconds to be in force.
-	gatherTime = 800 * time.Millisecond
-	// largeContent is the size of a document from which on the newest is read after
-	// the pause, instead of each one since: a watch returns them all.
-	largeContent = 32 << 10
+	gatherTime = 700 * time.Millisecond
+	// settledAfter is the number of looks after a change that find no further one
+	// before the next watch begins. A look reads an older copy, which is usually as
+	// new and costs a tenth; two of them and a call fit into the two seconds in
+	// which a version has to be in force.
+	settledAfter = 2
 	// checkEvery is the usual time between two checks that the store answers and
 	// that the watch has missed nothing: a watch may wait on a connection that
 	// went silent. A check reads an older copy, which costs a tenth of a call.
@@ -134,17 +136,14 @@
 		f.mu.Lock()
 		cancel := f.cancel
 		f.mu.Unlock()
-		body, err := f.store.Get(ctx, platform.ConfigList(true), checkLimit)
+		c, err := f.look(ctx)
 		if err == nil {
-			var c platform.Config
-			if c, err = platform.ReadConfigPage(body); err == nil {
-				before := f.Version()
-				f.Offer(c.Content, "check")
-				if f.Version() == before {
-					continue
-				}
-				err = errors.New("the watch has missed a version")
+			before := f.Version()
+			f.Offer(c.Content, "check")
+			if f.Version() == before {
+				continue
 			}
+			err = errors.New("the watch has missed a version")
 		}
 		if cancel != nil && ctx.Err() == nil {
 			f.log.Note("watchEnded", log.Fields{"error": err, "inForce": f.Version()})
@@ -166,10 +165,7 @@
 			changed := since > 0 && next != since
 			since = next
 			if changed {
-				wait.For(ctx, gatherTime)
-				if f.size() > largeContent {
-					since = 0
-				}
+				since = f.settle(ctx, since)
 			}
 			continue
 		}
@@ -190,11 +186,33 @@
 	}
 }
 
-// size returns the length of the document in force.
-func (f *Follower) size() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.content)
+// settle looks for further versions until there are none for a while, and
+// returns the revision from which to watch.
+func (f *Follower) settle(ctx context.Context, since uint64) uint64 {
+	for unchanged := 0; unchanged < settledAfter && wait.For(ctx, gatherTime); {
+		c, err := f.look(ctx)
+		if err != nil {
+			return since
+		}
+		unchanged++
+		if before := f.Version(); len(c.Content) > 0 {
+			f.Offer(c.Content, "look")
+			if f.Version() > before {
+				unchanged = 0
+			}
+		}
+		since = max(since, c.Revision)
+	}
+	return since
+}
+
+// look reads a copy of the configuration that may be older.
+func (f *Follower) look(ctx context.Context) (platform.Config, error) {
+	body, err := f.store.Get(ctx, platform.ConfigList(true), checkLimit)
+	if err != nil {
+		return platform.Config{}, err
+	}
+	return platform.ReadConfigPage(body)
 }
 
 // step makes one call and returns the revision from which to watch.
