--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -145,6 +145,35 @@
 	})
 }
 
+// A server stops for a while, as when its instance is frozen, and the requests that
+// wait there become late: most of them are refused when it goes on, not served in
+// place of new ones.
+func TestStandstill(t *testing.T) {
+	const slots = 8
+	g := gate.New()
+	g.SetLimit(epoch, slots)
+	offer := func(now time.Time, id uint64) gate.Outcome {
+		return g.Offer(now, gate.Request{ID: id, Target: now.Add(500 * time.Millisecond), Deadline: now.Add(5 * time.Second)})
+	}
+	for id := range uint64(3 * slots) {
+		offer(epoch, id)
+	}
+	later := epoch.Add(time.Second)
+	g.Done(later, 0, true)
+	started, refused := 0, 0
+	for _, d := range g.Decisions() {
+		switch d.Outcome.(type) {
+		case gate.Started:
+			started++
+		case gate.Refused:
+			refused++
+		}
+	}
+	if _, queued, _ := g.Load(); started != 1 || queued > slots/2 || refused != 2*slots-1-queued {
+		t.Fatalf("%d started, %d wait, %d refused", started, queued, refused)
+	}
+}
+
 func TestOutcomes(t *testing.T) {
 	request := func(id uint64) gate.Request {
 		return gate.Request{ID: id, Target: epoch.Add(time.Second), Deadline: epoch.Add(2 * time.Second)}
--- /dev/null
+++ b/internal/mesh/local/local_test.go
@@ -0,0 +1,87 @@
+package local_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lavenderdeal/core/beat"
+	"lavenderdeal/internal/lines"
+	"lavenderdeal/internal/mesh/local"
+	"lavenderdeal/io/hop"
+	"lavenderdeal/io/http1"
+	"lavenderdeal/platform/platformtest"
+)
+
+const drain = 500 * time.Millisecond
+
+// newServer returns a node's way to a backend server that has spoken.
+func newServer(t *testing.T) (*local.Server, *platformtest.Server, beat.Message) {
+	backend := platformtest.NewServer(t, "bookings", "i-1", 1)
+	pool := http1.New()
+	t.Cleanup(pool.Close)
+	s := local.New(beat.New("bookings", backend.Addr(), drain), pool, lines.New(io.Discard, "n1"), func(local.State) {})
+	m := beat.Message{ID: "i-1", Service: "bookings", Address: backend.Addr(), Slots: 1, Sequence: 1, Started: time.Now()}
+	if err := s.Beat(m); err != nil {
+		t.Fatal(err)
+	}
+	return s, backend, m
+}
+
+func run(s *local.Server, instance string) hop.Result {
+	r := &http1.Request{Method: http.MethodGet, URI: "/", Host: "depot", Header: http.Header{"Request-Id": {"r1"}}}
+	result, _ := s.Run(context.Background(), hop.Call{Instance: instance, Target: time.Second, Left: time.Second}, r)
+	return result
+}
+
+func assertNotRun(t *testing.T, backend *platformtest.Server, got hop.Result, rule string) {
+	t.Helper()
+	if got.Verdict != hop.NotRun || got.Rule != rule {
+		t.Fatalf("got %+v, want not run by %s", got, rule)
+	}
+	if runs := backend.Runs(); len(runs) != 0 {
+		t.Fatalf("ran %v", runs)
+	}
+}
+
+func TestRun(t *testing.T) {
+	t.Run("a request for the server", func(t *testing.T) {
+		s, backend, _ := newServer(t)
+		if got := run(s, "i-1"); got.Verdict != hop.Ran || len(backend.Runs()) != 1 {
+			t.Fatalf("got %+v", got)
+		}
+	})
+	t.Run("one for a server that was there before", func(t *testing.T) {
+		s, backend, _ := newServer(t)
+		assertNotRun(t, backend, run(s, "i-0"), local.RuleOtherServer)
+	})
+	t.Run("one that waits while the server leaves", func(t *testing.T) {
+		s, backend, m := newServer(t)
+		backend.SetTook(2 * drain)
+		done := make(chan hop.Result, 1)
+		var group errgroup.Group
+		group.Go(func() error { done <- run(s, "i-1"); return nil })
+		time.Sleep(50 * time.Millisecond)
+		m.Sequence++
+		m.Leaving = true
+		if err := s.Beat(m); err != nil {
+			t.Fatal(err)
+		}
+		late := run(s, "i-1")
+		if late.Verdict != hop.NotRun || len(backend.Runs()) != 1 {
+			t.Fatalf("got %+v, ran %v", late, backend.Runs())
+		}
+		<-done
+	})
+	t.Run("before the server has spoken", func(t *testing.T) {
+		backend := platformtest.NewServer(t, "bookings", "i-1", 1)
+		pool := http1.New()
+		t.Cleanup(pool.Close)
+		s := local.New(beat.New("bookings", backend.Addr(), drain), pool, lines.New(io.Discard, "n1"), func(local.State) {})
+		assertNotRun(t, backend, run(s, "i-1"), local.RuleNoServer)
+	})
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -227,6 +227,14 @@
 			t.Fatalf("got %+v", a)
 		}
 	})
+	t.Run("what only nodes may say is not passed on to the own server", func(t *testing.T) {
+		a, err := f.callWith(context.Background(), near, http.MethodPost, "/booking/1", "", http.Header{"Lavenderdeal-Call": {"forged"}})
+		assertStatus(t, a, err, http.StatusOK)
+		runs := near.server.Runs()
+		if got := runs[len(runs)-1].Header["Lavenderdeal-Call"]; got != nil {
+			t.Fatalf("the server got %v", got)
+		}
+	})
 	t.Run("a long body arrives whole", func(t *testing.T) {
 		body := strings.Repeat("0123456789", 30_000)
 		a, err := f.call(far, http.MethodPost, "/photos/1", body)
@@ -278,12 +286,20 @@
 		})
 	})
 	t.Run("one that must not repeat runs once", func(t *testing.T) {
+		other := f.add("a", "bookings", 4)
+		other.beat(t, "ready")
+		f.eventually("both servers are used", func() bool {
+			_, _ = f.call(far, http.MethodPost, "/booking/1", "")
+			return len(other.server.Runs()) > 0
+		})
+		defer other.beat(t, "draining")
 		near.server.SetAnswer(fail)
 		defer near.server.SetAnswer(nil)
-		before := len(near.server.Runs())
+		other.server.SetAnswer(fail)
+		before := len(near.server.Runs()) + len(other.server.Runs())
 		a, err := f.call(far, http.MethodPost, "/booking/once", "")
 		assertStatus(t, a, err, http.StatusInternalServerError)
-		if n := len(near.server.Runs()) - before; n != 1 || !a.signed {
+		if n := len(near.server.Runs()) + len(other.server.Runs()) - before; n != 1 || !a.signed {
 			t.Fatalf("ran %d times, got %+v", n, a)
 		}
 	})
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -124,6 +124,21 @@
 			assertBody(t, a, err, fmt.Sprint(i))
 		}
 	})
+	t.Run("nor does it where any answer would do", func(t *testing.T) {
+		addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+			for id := readRequest(r); id != ""; id = readRequest(r) {
+				answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+				_, _ = io.WriteString(c, answer+answer)
+			}
+		})
+		p := newPool(t)
+		for i := range 50 {
+			r := request(fmt.Sprint(i))
+			r.IsAnswer = nil
+			a, err := do(t, p, addr, r)
+			assertBody(t, a, err, fmt.Sprint(i))
+		}
+	})
 	t.Run("a late answer where the next is expected is skipped", func(t *testing.T) {
 		addr := serve(t, func(c net.Conn, r *bufio.Reader) {
 			last := ""
