--- a/internal/mesh/front/front.go
+++ b/internal/mesh/front/front.go
@@ -358,7 +358,7 @@
 		switch result.Verdict {
 		case hop.Ran:
 			last = outcome{answer: answer, server: e.Node, waited: result.Waited, load: result.Load}
-			if answer.Status < http.StatusInternalServerError || !f.mayRepeat(q, ctx) {
+			if answer.Status < http.StatusInternalServerError || !f.mayRepeat(ctx, q) {
 				return last
 			}
 		case hop.NotRun:
@@ -379,7 +379,7 @@
 					last.status = http.StatusGatewayTimeout
 				}
 			}
-			if !f.mayRepeat(q, ctx) {
+			if !f.mayRepeat(ctx, q) {
 				return last
 			}
 		}
@@ -428,7 +428,7 @@
 
 // mayRepeat says whether a request that may have run may be sent again, and
 // takes it from the budget.
-func (f *Front) mayRepeat(q *request, ctx context.Context) bool {
+func (f *Front) mayRepeat(ctx context.Context, q *request) bool {
 	return q.route.Kind == routes.Idempotent && ctx.Err() == nil && f.takeRepeat(q)
 }
 
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -235,9 +235,9 @@
 			written = failed == nil
 		default:
 			// The other end answered early: what is left of the body must not be
-			// taken for another request.
+			// taken for another request. The write fails because of the close.
 			_ = c.Close()
-			<-wrote
+			_ = <-wrote
 		}
 	}
 	return answer, keep && written, err
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -297,12 +297,11 @@
 
 func TestFailures(t *testing.T) {
 	t.Run("nobody listens", func(t *testing.T) {
-		addr := serve(t, func(net.Conn, *bufio.Reader) {})
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		addr = netip.MustParseAddrPort(listener.Addr().String())
+		addr := netip.MustParseAddrPort(listener.Addr().String())
 		_ = listener.Close()
 		_, err = do(t, newPool(t), addr, request("x"))
 		assertSent(t, err, false)
