--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -202,7 +202,7 @@
 func (p *Pool) exchange(c *conn, r *Request) (*Response, bool, error) {
 	c.buf = appendHead(c.buf[:0], r)
 	written := true
-	var wrote chan error
+	var wrote chan bool
 	if r.Ask {
 		if _, err := c.Write(c.buf); err != nil {
 			return nil, false, errors.Wrap(err, "write")
@@ -220,24 +220,23 @@
 		}
 	} else {
 		written = false
-		wrote = make(chan error, 1)
+		wrote = make(chan bool, 1)
 		p.group.Go(func() error {
 			buffers := net.Buffers{c.buf, r.Body}
 			_, err := buffers.WriteTo(c.Conn)
-			wrote <- err
+			wrote <- err == nil
 			return nil
 		})
 	}
 	answer, keep, err := c.read(r, false)
 	if !written {
 		select {
-		case failed := <-wrote:
-			written = failed == nil
+		case written = <-wrote:
 		default:
 			// The other end answered early: what is left of the body must not be
 			// taken for another request. The write fails because of the close.
 			_ = c.Close()
-			_ = <-wrote
+			<-wrote
 		}
 	}
 	return answer, keep && written, err
