--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -17,6 +17,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -58,6 +59,8 @@
 	// differingLimit is the number of comparisons in a row that find a difference
 	// before all entries are exchanged, which are many bytes in a large fleet.
 	differingLimit = 2
+	// fetchLimit is the time for a document of a megabyte over a link of 7 Mbit/s.
+	fetchLimit = 1500 * time.Millisecond
 	// keepTries bounds the attempts to keep in the store that a server leaves.
 	keepTries = 5
 	// introductions is the number of nodes from which a node that starts learns
@@ -77,6 +80,7 @@
 	versions *versions.Follower
 	log      *lines.Log
 	group    errgroup.Group
+	fetching atomic.Bool
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -385,19 +389,29 @@
 	return m.roster.NewerThan(theirs)
 }
 
-// fetchAbove gets a configuration from another node when the own watch has not
-// brought it.
+// fetchAbove gets a configuration from another node when neither the own watch
+// nor a look into the store has brought it. One call at a time does so: when all
+// nodes answer news with a higher version, a document from each would fill the
+// link for seconds.
 func (m *Members) fetchAbove(ctx context.Context, e messages.Entry, version int) {
-	if uint64(version) <= m.versions.Version() {
+	if uint64(version) <= m.versions.Version() || !m.fetching.CompareAndSwap(false, true) {
 		return
 	}
-	if m.versions.Version() > 0 && !wait.For(ctx, ownWatch) {
-		return
+	defer m.fetching.Store(false)
+	if m.versions.Version() > 0 {
+		if !wait.For(ctx, ownWatch) || uint64(version) <= m.versions.Version() {
+			return
+		}
+		m.versions.Look(ctx)
 	}
 	above := m.versions.Version()
 	if uint64(version) <= above {
 		return
 	}
+	// A document may be long and the link slow.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), fetchLimit)
+	defer cancel()
+	m.log.Note("versionAsked", log.Fields{"from": e.Node, "version": version, "inForce": above})
 	a, err := peer.Call[messages.VersionAnswer](ctx, m.endpoint, e.Peer, methodVersion, messages.VersionQuestion{Above: int(above)})
 	if err != nil {
 		m.log.Note("versionNotFetched", log.Fields{"from": e.Node, "version": version, "inForce": above, "error": err})
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -271,6 +271,12 @@
 	return nil
 }
 
+// Nodes returns the number of known nodes, this one included.
+func (n *Node) Nodes() int { return n.members.Len() }
+
+// LoseStore cuts the node off from the store, as a test of partitions needs it.
+func (n *Node) LoseStore() { n.store.Lose() }
+
 // Kill ends the node at once, as a test of sudden ends needs it.
 func (n *Node) Kill() { n.close() }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -435,6 +435,30 @@
 	})
 }
 
+// A node that the store turns away takes a version from the others, from one of
+// them at a time: when it tells all of its server, all answer with the version.
+func TestHerdOfVersions(t *testing.T) {
+	f := newFleet(t)
+	for range 6 {
+		f.add("a", "availability", 4).beat(t, "ready")
+	}
+	cutOff := f.add("a", "bookings", 4)
+	for _, m := range f.nodes {
+		f.eventually("all nodes are known", func() bool { return m.node.Nodes() == len(f.nodes) })
+	}
+	f.served(cutOff, "/stock/1")
+	cutOff.node.LoseStore()
+	moved := routes()
+	moved[0].Prefix = "/moved/"
+	f.configure(2, moved)
+	f.served(f.nodes[0], "/moved/1")
+	cutOff.beat(t, "ready")
+	f.served(cutOff, "/moved/1")
+	if n := cutOff.lines.Totals()["versionAsked"]; n != 1 {
+		t.Fatalf("the node asked %d times", n)
+	}
+}
+
 func TestStop(t *testing.T) {
 	f, near, far := pair(t)
 	far.server.SetTook(300 * time.Millisecond)
--- a/internal/mesh/versions/versions.go
+++ b/internal/mesh/versions/versions.go
@@ -206,6 +206,17 @@
 	return since
 }
 
+// Look reads a copy of the configuration that may be older, and puts it in force
+// when it is newer than what is.
+func (f *Follower) Look(ctx context.Context) {
+	c, err := f.look(ctx)
+	if err != nil {
+		f.log.Note("lookFailed", log.Fields{"error": err, "inForce": f.Version()})
+		return
+	}
+	f.Offer(c.Content, "look")
+}
+
 // look reads a copy of the configuration that may be older.
 func (f *Follower) look(ctx context.Context) (platform.Config, error) {
 	body, err := f.store.Get(ctx, platform.ConfigList(true), checkLimit)
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -53,6 +53,9 @@
 type Client struct {
 	base string
 	http *httpclient.Client
+	// lost ends when the client is cut off.
+	lost context.Context
+	lose context.CancelFunc
 }
 
 // New returns a client of the store at an address.
@@ -63,7 +66,9 @@
 			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 		},
 	}
+	lost, lose := context.WithCancel(context.Background())
 	return &Client{
+		lost: lost, lose: lose,
 		base: "http://" + addr.String(),
 		http: httpclient.New("store", httpclient.WithConnections(connections), httpclient.WithDialer(dialer)),
 	}
@@ -92,12 +97,20 @@
 	return err
 }
 
+// Lose makes all further calls fail as if the store were not reached, and ends
+// those that wait.
+func (c *Client) Lose() { c.lose() }
+
 // Close ends the idle connections.
-func (c *Client) Close() { c.http.Close() }
+func (c *Client) Close() {
+	c.lose()
+	c.http.Close()
+}
 
 func (c *Client) do(ctx context.Context, method, path string, body []byte, limit time.Duration) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	defer context.AfterFunc(c.lost, cancel)()
 	var content io.Reader
 	if body != nil {
 		content = bytes.NewReader(body)
