members, store: a node whose server spoke first tells of it once it knows others

Found by TestHerdOfVersions: seven nodes did not always know each other within 5 s, since a heartbeat that came before the first list was told to nobody. And a client that is cut off answers at once.

--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -201,9 +201,16 @@
 
 // meet looks for nodes in the store and leaves the own entry there.
 func (m *Members) meet(ctx context.Context) {
-	stale := false
+	stale, first := false, true
 	for ctx.Err() == nil {
 		n, err := m.list(ctx, stale)
+		if own := m.Own(); err == nil && first {
+			first = false
+			if own.State != messages.EntryStateWaiting {
+				// The server spoke before the others were known.
+				m.broadcast(own)
+			}
+		}
 		switch {
 		case err != nil:
 			m.log.Note("nodesNotListed", log.Fields{"error": err, "known": m.Len()})
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -448,6 +448,7 @@
 	}
 	f.served(cutOff, "/stock/1")
 	cutOff.node.LoseStore()
+	f.eventually("the watch has ended", func() bool { return cutOff.lines.Totals()["storeLost"] > 0 })
 	moved := routes()
 	moved[0].Prefix = "/moved/"
 	f.configure(2, moved)
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -108,6 +108,9 @@
 }
 
 func (c *Client) do(ctx context.Context, method, path string, body []byte, limit time.Duration) ([]byte, error) {
+	if err := c.lost.Err(); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "cut off from the store"), ErrBusy)
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	defer context.AfterFunc(c.lost, cancel)()
