--- /dev/null
+++ b/internal/mesh/members/meet.go
@@ -0,0 +1,196 @@
+package members
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"lavenderdeal/internal/wait"
+	"lavenderdeal/io/store"
+	"lavenderdeal/platform"
+	messages "lavenderdeal/schema/roster"
+)
+
+// keep writes the own entry to the store, so that a later process of this node
+// knows what this one has acknowledged although all others may end too.
+func (m *Members) keep(own messages.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		return
+	}
+	m.group.Go(func() error {
+		ctx := context.Background()
+		for range keepTries {
+			err := m.write(ctx)
+			if err == nil {
+				return nil
+			}
+			m.log.Note("leaveNotKept", log.Fields{"server": own.Server, "error": err})
+			wait.For(ctx, listAlone/2+rand.N(listAlone))
+		}
+		return nil
+	})
+}
+
+// meet looks for nodes in the store and leaves the own entry there.
+func (m *Members) meet(ctx context.Context) {
+	stale, first := false, true
+	for ctx.Err() == nil {
+		n, err := m.list(ctx, stale)
+		if own := m.Own(); err == nil && first {
+			first = false
+			if own.State != messages.EntryStateWaiting {
+				// The server spoke before the others were known.
+				m.broadcast(own)
+			}
+		}
+		switch {
+		case err != nil:
+			m.log.Note("nodesNotListed", log.Fields{"error": err, "known": m.Len()})
+		case !m.isWritten(n):
+			if err := m.write(ctx); err != nil {
+				m.log.Note("nodeNotWritten", log.Fields{"error": err})
+				break
+			}
+			stale = true
+		default:
+			stale = true
+		}
+		d := listEvery
+		if m.Len() == 1 || !stale {
+			d = listAlone
+		}
+		wait.For(ctx, d/2+rand.N(d))
+	}
+}
+
+func (m *Members) list(ctx context.Context, stale bool) ([]messages.Entry, error) {
+	var all []messages.Entry
+	after := ""
+	for {
+		body, err := m.store.Get(ctx, platform.NodeList(after, stale), callLimit)
+		if err != nil {
+			return nil, err
+		}
+		page, err := platform.ReadNodes(body)
+		if err != nil {
+			return nil, err
+		}
+		if page.Unreadable > 0 {
+			m.log.Note("nodesUnreadable", log.Fields{"count": page.Unreadable})
+		}
+		all = append(all, page.Entries...)
+		if after = page.After; after == "" {
+			break
+		}
+	}
+	m.mu.Lock()
+	own := m.roster.Own()
+	past := slices.DeleteFunc(slices.Clone(all), func(e messages.Entry) bool { return e.Node != own.Node || e.Epoch == own.Epoch })
+	unknown := slices.DeleteFunc(slices.Clone(all), func(e messages.Entry) bool {
+		epoch, gone := m.forgotten[e.Node]
+		return m.roster.Knows(e.Node) || gone && e.Epoch <= epoch
+	})
+	for _, e := range all {
+		if e.Call == own.Call && e.Node != own.Node {
+			// The address is this node's now, so its former node is gone.
+			m.remove(e.Node)
+		}
+	}
+	unknown = slices.DeleteFunc(unknown, func(e messages.Entry) bool { return e.Call == own.Call })
+	m.mu.Unlock()
+	for _, e := range past {
+		m.past(e)
+	}
+	if len(unknown) > 0 {
+		// What a node left in the store says where it is, not how it is now.
+		for i := range unknown {
+			unknown[i].State = messages.EntryStateWaiting
+			unknown[i].Epoch, unknown[i].Sequence = 0, 0
+		}
+		m.merge(unknown, "listed")
+		m.introduce(unknown)
+	}
+	return all, nil
+}
+
+// isWritten says whether the store holds the own entry's addresses.
+func (m *Members) isWritten(all []messages.Entry) bool {
+	own := m.Own()
+	return slices.ContainsFunc(all, func(e messages.Entry) bool {
+		return e.Node == own.Node && e.Call == own.Call && e.Peer == own.Peer && e.Zone == own.Zone && e.Service == own.Service
+	})
+}
+
+func (m *Members) write(ctx context.Context) error {
+	own := m.Own()
+	m.mu.Lock()
+	exists := m.written
+	m.mu.Unlock()
+	if !exists {
+		path, body, err := platform.NodeCreate(own)
+		if err != nil {
+			return err
+		}
+		err = m.store.Post(ctx, path, body, callLimit)
+		if err != nil && !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+		m.mu.Lock()
+		m.written = true
+		m.mu.Unlock()
+		if err == nil {
+			return nil
+		}
+	}
+	path, body, err := platform.NodeReplace(own)
+	if err != nil {
+		return err
+	}
+	err = m.store.Put(ctx, path, body, callLimit)
+	if errors.Is(err, store.ErrMissing) {
+		m.mu.Lock()
+		m.written = false
+		m.mu.Unlock()
+	}
+	return err
+}
+
+// introduce sends the own entry to nodes that were found in the store and learns
+// what they know.
+func (m *Members) introduce(entries []messages.Entry) {
+	m.mu.Lock()
+	ctxOK := !m.stopped && m.endpoint != nil
+	m.mu.Unlock()
+	if !ctxOK {
+		return
+	}
+	for _, i := range rand.Perm(len(entries))[:min(introductions, len(entries))] {
+		e := entries[i]
+		m.group.Go(func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), tellLimit)
+			defer cancel()
+			m.exchange(ctx, e, true)
+			return nil
+		})
+	}
+}
+
+// remove takes a node's object out of the store. When the node lives after all,
+// it finds its object missing and writes it again.
+func (m *Members) remove(node string) {
+	if m.stopped {
+		return
+	}
+	m.group.Go(func() error {
+		err := m.store.Delete(context.Background(), platform.NodeDelete(node), callLimit)
+		if err != nil && !errors.Is(err, store.ErrMissing) {
+			m.log.Note("nodeNotRemoved", log.Fields{"peer": node, "error": err})
+		}
+		return nil
+	})
+}
