front: what may have run is not refused as not run

Found by reading: an idempotent request whose first server broke off and whose second one had no room was answered 503, a promise that does not hold.

--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -326,6 +326,25 @@
 		a, err := f.call(far, http.MethodPost, "/booking/unproved", "")
 		assertStatus(t, a, err, http.StatusBadGateway)
 	})
+	t.Run("what may have run is not refused as not run", func(t *testing.T) {
+		breaks := func(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) }
+		full := func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return true
+		}
+		far.server.SetAnswer(breaks)
+		second.server.SetAnswer(full)
+		defer far.server.SetAnswer(nil)
+		defer second.server.SetAnswer(nil)
+		for range 40 {
+			before := len(far.server.Runs())
+			a, err := f.call(near, http.MethodGet, "/stock/3", "")
+			if len(far.server.Runs()) > before {
+				assertStatus(t, a, err, http.StatusBadGateway)
+			}
+		}
+	})
 	t.Run("an encoded body is not the server's", func(t *testing.T) {
 		near.server.SetAnswer(func(w http.ResponseWriter, _ *http.Request) bool {
 			w.Header().Set("Response-Signature", "signed")
