--- a/internal/mesh/front/offer.go
+++ b/internal/mesh/front/offer.go
@@ -58,10 +58,8 @@
 			if last.status == 0 && last.answer == nil {
 				last.rule = result.Rule
 			}
-			if result.Arrived && !f.takeRepeat(q) {
-				return f.refused(q, result.Rule)
-			}
-			if patient && !q.inner {
+			isLast := patient && !q.inner
+			if isLast || result.Arrived && !f.takeRepeat(q) {
 				return f.settle(q, last)
 			}
 		case hop.Unknown:
