--- a/internal/mesh/versions/versions.go
+++ b/internal/mesh/versions/versions.go
@@ -182,9 +182,16 @@
 	return f.content
 }
 
-// Offer applies a document if it is valid and its version is higher than the
-// applied one. The source is where the document came from, for the log.
+// Offer applies a document from another node if it is valid and its version is higher
+// than the applied one. The source is the name of the node, for the log.
 func (f *Follower) Offer(content []byte, source string) {
+	f.apply(platform.Config{Content: content}, source)
+}
+
+// apply applies the document of an answer if it is valid and its version is higher than
+// the applied one. The source is where the answer came from, for the log.
+func (f *Follower) apply(c platform.Config, source string) {
+	content := c.Content
 	f.mu.Lock()
 	isKnown, known := bytes.Equal(content, f.content), f.routeCache
 	f.mu.Unlock()
@@ -205,7 +212,10 @@
 	}
 	f.mu.Unlock()
 	if isNewer {
-		f.log.WriteLimited("versionInForce", log.Fields{"version": t.Version(), "before": before, "source": source, "routes": t.Len()})
+		f.log.WriteLimited("versionInForce", log.Fields{
+			"version": t.Version(), "before": before, "source": source, "routes": t.Len(),
+			"revision": c.ContentRevision, "storeRevision": c.Revision,
+		})
 		f.emit(Applied{Version: t.Version()})
 	}
 }
@@ -237,7 +247,7 @@
 		}
 		if err == nil {
 			before := f.Version()
-			f.Offer(c.Content, "check")
+			f.apply(c, "check")
 			if f.Version() == before {
 				if !watching {
 					f.storeAnswered()
@@ -304,7 +314,7 @@
 		}
 		unchanged++
 		if before := f.Version(); len(c.Content) > 0 {
-			f.Offer(c.Content, "look")
+			f.apply(c, "look")
 			if f.Version() > before {
 				unchanged = 0
 			}
@@ -322,7 +332,7 @@
 		f.log.WriteLimited("lookFailed", log.Fields{"error": err, "inForce": f.Version()})
 		return
 	}
-	f.Offer(c.Content, "look")
+	f.apply(c, "look")
 }
 
 // SinceRefresh returns the time since the last read of a possibly older copy began.
@@ -336,8 +346,17 @@
 func (f *Follower) readStale(ctx context.Context) (platform.Config, error) {
 	f.mu.Lock()
 	f.lastRefresh = time.Now()
+	inForce, revision := f.Version(), f.revision
 	f.mu.Unlock()
-	return f.read(ctx, platform.ConfigList(true), checkTimeout)
+	started := time.Now()
+	c, err := f.read(ctx, platform.ConfigList(true), checkTimeout)
+	if err == nil && inForce > 0 {
+		f.log.WriteLimited("copyRead", log.Fields{
+			"inForce": inForce, "read": revision, "revision": c.ContentRevision, "storeRevision": c.Revision,
+			"tookMs": time.Since(started).Milliseconds(),
+		})
+	}
+	return c, err
 }
 
 // poll reads the changes since the last call. There are usually none, while the whole
@@ -390,7 +409,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.Offer(c.Content, "store")
+	f.apply(c, "store")
 	return max(c.Revision, since), nil
 }
 
