--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -52,13 +52,14 @@
 	// is leaving.
 	aloneListInterval = 300 * time.Millisecond
 	// ownWatchTime is the time that the node's own watch of the store has to return a
-	// version that another node has applied, before it is fetched in another way.
-	ownWatchTime = 300 * time.Millisecond
+	// version that another node has applied, before it is fetched in another way. It is
+	// longer than the time for which a watching node batches versions.
+	ownWatchTime = 700 * time.Millisecond
 	// minRefreshInterval is the minimum time between two reads of the configuration
 	// by a node that is notified of versions in quick succession. Together with the
 	// time for which a watching node batches versions, it is below the two seconds
 	// in which a version must be applied.
-	minRefreshInterval = 800 * time.Millisecond
+	minRefreshInterval = 700 * time.Millisecond
 	// A node is forgotten after minForgetTime without an answer and at least
 	// minForgetMisses failures in a row. The time is longer than a partition usually
 	// lasts. A node that is still running introduces itself again.
--- a/internal/mesh/members/sync.go
+++ b/internal/mesh/members/sync.go
@@ -138,7 +138,7 @@
 		if !wait.For(ctx, pause) || uint64(version) <= m.versions.Version() {
 			return
 		}
-		m.versions.Refresh(ctx)
+		m.versions.Refresh(ctx, uint64(version))
 	}
 	inForce := m.versions.Version()
 	if uint64(version) <= inForce {
@@ -172,7 +172,7 @@
 	m.updateWatchingLocked()
 	if wasWatcher && !m.stopped {
 		// The node may have failed to announce versions for a while.
-		m.group.Go(func() error { m.versions.Refresh(m.ctx); return nil })
+		m.group.Go(func() error { m.versions.ReadChanges(m.ctx); return nil })
 	}
 	if n.count < minForgetMisses || time.Since(n.since) < minForgetTime || !m.roster.Remove(e.Node) {
 		return
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -893,6 +893,62 @@
 	})
 }
 
+// Guards against versions that are applied late because copies of the store are seconds
+// behind: the nodes took a copy without a newer version as proof that there is none.
+func TestVersionsWhileCopiesLag(t *testing.T) {
+	const (
+		applyTime = 2 * time.Second
+		copyLag   = 3 * time.Second
+		// storeDelay is the time for a document of 200 KB over a link of 7 Mbit/s.
+		storeDelay = 230 * time.Millisecond
+		burst      = 15
+		gap        = 200 * time.Millisecond
+	)
+	f := newFleet(t)
+	for range 6 {
+		f.add("a", "availability", 4).sendHeartbeat(t, "ready")
+	}
+	for _, m := range f.nodes {
+		f.eventually("all nodes are known", func() bool { return m.node.NodeCount() == len(f.nodes) })
+		f.waitServed(m, "/stock/1")
+	}
+	f.store.SetCopyLag(copyLag)
+	f.store.SetDelay(storeDelay)
+	version := 1
+	configure := func(prefix string) time.Time {
+		version++
+		list := routes()
+		list[0].Prefix = prefix
+		f.configure(version, list)
+		return time.Now()
+	}
+	assertInForce := func(t *testing.T, written time.Time, uri string) {
+		t.Helper()
+		for _, m := range f.nodes {
+			f.waitServed(m, uri)
+			if took := time.Since(written); took > applyTime {
+				t.Errorf("%s applied the version %s after it was written, want at most %s", m.cfg.Node, took, applyTime)
+			}
+		}
+	}
+	t.Run("one version", func(t *testing.T) {
+		assertInForce(t, configure("/moved/"), "/moved/1")
+	})
+	t.Run("versions in quick succession", func(t *testing.T) {
+		for i := range burst {
+			configure(fmt.Sprintf("/moved-%d/", i))
+			time.Sleep(gap)
+		}
+		assertInForce(t, configure("/last/"), "/last/1")
+	})
+	t.Run("a version soon after another", func(t *testing.T) {
+		configure("/other/")
+		f.waitServed(f.nodes[0], "/other/1")
+		time.Sleep(gap)
+		assertInForce(t, configure("/final/"), "/final/1")
+	})
+}
+
 // A node that receives an announcement of a version that does not exist must look for it
 // then, and not again with each comparison of rosters.
 func TestNonexistentVersion(t *testing.T) {
--- a/internal/mesh/versions/versions.go
+++ b/internal/mesh/versions/versions.go
@@ -47,12 +47,9 @@
 	watchTime = 30 * time.Second
 	// batchDelay is the pause after a change, so that versions in quick succession
 	// are read together. A version must be applied within two seconds.
-	batchDelay = 700 * time.Millisecond
-	// settleReads is the number of reads without a new version after a change
-	// before the next watch begins. They may return an older copy, which is usually
-	// up to date and costs a tenth of a full read. Two of them and a call fit into
-	// the two seconds in which a version must be applied.
-	settleReads = 2
+	batchDelay = 500 * time.Millisecond
+	// copyMistrust is how long a node does not read copies after one was behind.
+	copyMistrust = 5 * time.Second
 	// checkInterval is the mean time between checks that the store answers and that
 	// the watch has not missed a version, since the connection of a watch may hang.
 	// A check may read an older copy, which costs a tenth of a full read.
@@ -67,6 +64,13 @@
 	maxBackoff = 1500 * time.Millisecond
 )
 
+// The sources of an applied version, for the log, besides the names of nodes.
+const (
+	sourceStore = "store"
+	sourceCopy  = "look"
+	sourceCheck = "check"
+)
+
 // Follower applies new versions of the configuration. It is safe for concurrent
 // use. Lock order: mu is the only lock.
 type Follower struct {
@@ -88,8 +92,10 @@
 
 	// revision is the store revision up to which the node has read.
 	revision uint64
-	// lastRefresh is when the last stale read began.
+	// lastRefresh is when the last call of Refresh began, and copyBehind when a copy was
+	// last found to be behind.
 	lastRefresh time.Time
+	copyBehind  time.Time
 
 	watching atomic.Bool
 	// startWatch wakes follow when the node starts to watch the store.
@@ -247,7 +253,7 @@
 		}
 		if err == nil {
 			before := f.Version()
-			f.apply(c, "check")
+			f.apply(c, sourceCheck)
 			if f.Version() == before {
 				if !watching {
 					f.storeAnswered()
@@ -305,58 +311,102 @@
 }
 
 // settle reads the configuration until no further version appears for a while, and
-// returns the revision from which to watch.
+// returns the revision from which to watch. A watch would return each version of a
+// quick succession with its whole document.
 func (f *Follower) settle(ctx context.Context, since uint64) uint64 {
-	for unchanged := 0; unchanged < settleReads && wait.For(ctx, batchDelay); {
-		c, err := f.readStale(ctx)
+	for wait.For(ctx, batchDelay) {
+		before := f.Version()
+		c, err := f.read(ctx, platform.ConfigList(false), storeTimeout)
 		if err != nil {
+			f.log.WriteLimited("lookFailed", log.Fields{"error": err, "inForce": before})
 			return since
 		}
-		unchanged++
-		if before := f.Version(); len(c.Content) > 0 {
-			f.apply(c, "look")
-			if f.Version() > before {
-				unchanged = 0
-			}
-		}
+		f.apply(c, sourceStore)
 		since = max(since, c.Revision)
+		if f.Version() == before {
+			break
+		}
 	}
 	return since
 }
 
-// Refresh reads the configuration from the store, possibly an older copy, and
-// applies it if it is newer than the applied version.
-func (f *Follower) Refresh(ctx context.Context) {
-	c, err := f.readStale(ctx)
+// Refresh reads the configuration from the store until it has the given version, which
+// another node has announced. It reads a copy first, and the store itself if the copy is
+// behind.
+func (f *Follower) Refresh(ctx context.Context, version uint64) {
+	f.mu.Lock()
+	f.lastRefresh = time.Now()
+	readCopy := time.Since(f.copyBehind) > copyMistrust
+	f.mu.Unlock()
+	if readCopy {
+		c, err := f.readCopy(ctx)
+		if err != nil {
+			f.log.WriteLimited("lookFailed", log.Fields{"error": err, "inForce": f.Version()})
+			return
+		}
+		f.apply(c, sourceCopy)
+		if f.Version() >= version {
+			return
+		}
+		f.mu.Lock()
+		f.copyBehind = time.Now()
+		f.mu.Unlock()
+	}
+	c, err := f.read(ctx, platform.ConfigList(false), checkTimeout)
 	if err != nil {
 		f.log.WriteLimited("lookFailed", log.Fields{"error": err, "inForce": f.Version()})
 		return
 	}
-	f.apply(c, "look")
+	f.apply(c, sourceStore)
 }
 
-// SinceRefresh returns the time since the last read of a possibly older copy began.
+// ReadChanges reads the changes since the last read from the store itself. There are
+// usually none, so the answer is short.
+func (f *Follower) ReadChanges(ctx context.Context) {
+	f.mu.Lock()
+	since := f.revision
+	f.mu.Unlock()
+	path := platform.ConfigWatch(since, time.Millisecond)
+	if since == 0 {
+		path = platform.ConfigList(false)
+	}
+	c, err := f.read(ctx, path, checkTimeout)
+	if errors.Is(err, store.ErrHistoryExpired) {
+		c, err = f.read(ctx, platform.ConfigList(false), checkTimeout)
+	}
+	if err != nil {
+		f.log.WriteLimited("lookFailed", log.Fields{"error": err, "inForce": f.Version()})
+		return
+	}
+	f.apply(c, sourceStore)
+}
+
+// SinceRefresh returns the time since the last call of Refresh began.
 func (f *Follower) SinceRefresh() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return time.Since(f.lastRefresh)
 }
 
-// readStale reads the configuration from the store, possibly an older copy.
-func (f *Follower) readStale(ctx context.Context) (platform.Config, error) {
+// readCopy reads the configuration from a copy, which may be older than the store.
+func (f *Follower) readCopy(ctx context.Context) (platform.Config, error) {
 	f.mu.Lock()
-	f.lastRefresh = time.Now()
 	inForce, revision := f.Version(), f.revision
 	f.mu.Unlock()
 	started := time.Now()
-	c, err := f.read(ctx, platform.ConfigList(true), checkTimeout)
-	if err == nil && inForce > 0 {
+	c, err := f.get(ctx, platform.ConfigList(true), checkTimeout)
+	if err != nil {
+		return c, err
+	}
+	// A copy proves nothing about changes after its document.
+	f.advance(c.ContentRevision)
+	if inForce > 0 {
 		f.log.WriteLimited("copyRead", log.Fields{
 			"inForce": inForce, "read": revision, "revision": c.ContentRevision, "storeRevision": c.Revision,
 			"tookMs": time.Since(started).Milliseconds(),
 		})
 	}
-	return c, err
+	return c, nil
 }
 
 // poll reads the changes since the last call. There are usually none, while the whole
@@ -366,28 +416,37 @@
 	since := f.revision
 	f.mu.Unlock()
 	if since == 0 {
-		return f.readStale(ctx)
+		return f.readCopy(ctx)
 	}
 	c, err := f.read(ctx, platform.ConfigPoll(since), checkTimeout)
 	if errors.Is(err, store.ErrHistoryExpired) {
-		return f.readStale(ctx)
+		return f.readCopy(ctx)
 	}
 	return c, err
 }
 
-// read makes a call to the store that returns the configuration or its changes.
+// read makes a call to the store that returns the configuration or its changes, up to the
+// revision of the answer.
 func (f *Follower) read(ctx context.Context, path string, limit time.Duration) (platform.Config, error) {
+	c, err := f.get(ctx, path, limit)
+	f.advance(c.Revision)
+	return c, err
+}
+
+// advance records that the node has read up to a revision of the store.
+func (f *Follower) advance(revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = max(f.revision, revision)
+}
+
+// get makes a call to the store that returns the configuration or its changes.
+func (f *Follower) get(ctx context.Context, path string, limit time.Duration) (platform.Config, error) {
 	body, err := f.store.Get(ctx, path, limit)
 	if err != nil {
 		return platform.Config{}, err
 	}
-	c, err := platform.ReadConfigPage(body)
-	if err == nil {
-		f.mu.Lock()
-		f.revision = max(f.revision, c.Revision)
-		f.mu.Unlock()
-	}
-	return c, err
+	return platform.ReadConfigPage(body)
 }
 
 // readOrWatch reads the configuration if since is 0 and watches for changes otherwise.
@@ -409,7 +468,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.apply(c, "store")
+	f.apply(c, sourceStore)
 	return max(c.Revision, since), nil
 }
 
