--- /dev/null
+++ b/internal/mesh/announcements_test.go
@@ -0,0 +1,158 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lavenderdeal/core/rendezvous"
+	"lavenderdeal/internal/secret"
+	"lavenderdeal/io/peer"
+	messages "lavenderdeal/schema/roster"
+)
+
+// applyTime is the time in which a version must be applied by all nodes.
+const applyTime = 2 * time.Second
+
+// fakeNode is a node without a server whose answers a test sets.
+type fakeNode struct {
+	entry    messages.Entry
+	endpoint *peer.Endpoint
+
+	mu sync.Mutex
+	// news holds the announcements received. The first failNews of them are answered
+	// with an error.
+	news     []messages.News
+	failNews int
+	// syncVersion is the version in the next answer to a comparison. Later answers
+	// have version 1 again.
+	syncVersion int
+}
+
+// addFake starts a fake node and introduces it to all nodes. It returns once they know
+// it.
+func (f *fleet) addFake(zone, name string) *fakeNode {
+	f.t.Helper()
+	n := &fakeNode{syncVersion: 1}
+	var mux peer.Mux
+	peer.Handle(&mux, "rosterNews", func(_ context.Context, q messages.News) (messages.Told, error) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.news = append(n.news, q)
+		if len(n.news) <= n.failNews {
+			return messages.Told{}, errors.New("not now")
+		}
+		return messages.Told{Version: 1}, nil
+	})
+	peer.Handle(&mux, "rosterSync", func(context.Context, messages.SyncQuestion) (messages.SyncAnswer, error) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		a := messages.SyncAnswer{Version: n.syncVersion, Same: true}
+		n.syncVersion = 1
+		return a, nil
+	})
+	for _, method := range []string{"rosterTell", "rosterSuspect"} {
+		peer.Handle(&mux, method, func(context.Context, struct{}) (messages.Told, error) { return messages.Told{Version: 1}, nil })
+	}
+	endpoint, err := peer.Listen(freeAddr(f.t), secret.New("a key of sixteen characters"), &mux)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = endpoint.Close() })
+	n.endpoint = endpoint
+	n.entry = messages.Entry{
+		Node: name, Epoch: 1, Zone: zone, Service: "bookings", Call: freeAddr(f.t), Peer: endpoint.Addr(),
+		State: messages.EntryStateWaiting,
+	}
+	for _, m := range f.nodes {
+		before := m.node.NodeCount()
+		f.send(n, m, "rosterTell", messages.Tell{Entries: []messages.Entry{n.entry}})
+		f.eventually("the fake node is known", func() bool { return m.node.NodeCount() > before })
+	}
+	return n
+}
+
+// send sends a message of the fake node to a node.
+func (f *fleet) send(from *fakeNode, to *member, method string, q any) {
+	f.t.Helper()
+	if _, err := peer.Call[messages.Told](f.t.Context(), from.endpoint, to.cfg.Listen.Peer, method, q); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// announced returns how often the node received the announcement of a version.
+func (n *fakeNode) announced(version int) (count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, q := range n.news {
+		if q.Version == version {
+			count++
+		}
+	}
+	return count
+}
+
+// fakeNames returns two names of nodes that watch the store for a zone in place of the
+// given node, and one of a node that does not when the other two nodes are real.
+func fakeNames(zone string, nodes ...string) (watching [2]string, idle string) {
+	found := 0
+	for i := 0; found < len(watching) || idle == ""; i++ {
+		name := fmt.Sprintf("fake-%d", i)
+		top := rendezvous.Top("watch/"+zone, append(slices.Clone(nodes), name), 1)
+		switch {
+		case top[0] == name && found < len(watching):
+			watching[found] = name
+			found++
+		case idle == "" && !slices.Contains(rendezvous.Top("watch/"+zone, append(slices.Clone(nodes), name), len(nodes)), name):
+			idle = name
+		}
+	}
+	return watching, idle
+}
+
+// moveStock writes a version in which the stock route has another prefix.
+func (f *fleet) moveStock(version int, prefix string) {
+	list := routes()
+	list[0].Prefix = prefix
+	f.configure(version, list)
+}
+
+// Guards against announcements that are lost because a node waits to fetch the version on
+// behalf of a call that has too little time left.
+func TestAnnouncementDuringShortCall(t *testing.T) {
+	f := newFleet(t)
+	m := f.add("a", "availability", 4)
+	m.sendHeartbeat(t, "ready")
+	f.waitServed(m, "/stock/1")
+	watching, _ := fakeNames("a", m.cfg.Node)
+	teller := f.addFake("a", watching[0])
+	f.addFake("a", watching[1])
+	f.eventually("the node does not watch", func() bool { return !m.node.IsWatching() })
+	f.moveStock(2, "/second/")
+	f.send(teller, m, "rosterNews", messages.News{Node: teller.entry.Node, Version: 2})
+	f.waitServed(m, "/second/1")
+
+	// From now on, only the announcement tells the node of the next version.
+	f.store.SetCopyLag(time.Minute)
+	f.moveStock(3, "/third/")
+	written := time.Now()
+	teller.mu.Lock()
+	teller.syncVersion = 3
+	teller.mu.Unlock()
+	f.send(teller, m, "rosterSuspect", messages.Suspect{Node: teller.entry.Node})
+	f.eventually("the node has compared rosters", func() bool {
+		teller.mu.Lock()
+		defer teller.mu.Unlock()
+		return teller.syncVersion == 1
+	})
+	f.send(teller, m, "rosterNews", messages.News{Node: teller.entry.Node, Version: 3})
+	f.waitServed(m, "/third/1")
+	if took := time.Since(written); took > applyTime {
+		t.Fatalf("the version was applied after %s, want within %s", took, applyTime)
+	}
+}
--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -291,7 +291,7 @@
 			m.log.WriteLimited("notTold", log.Fields{"peer": to.Node, "error": err})
 			return nil
 		}
-		m.fetchIfNewer(ctx, to, a.Version)
+		m.fetchInBackground(to, a.Version)
 		return nil
 	})
 }
--- a/internal/mesh/members/sync.go
+++ b/internal/mesh/members/sync.go
@@ -92,7 +92,7 @@
 		m.merge(a.Entries, "synced")
 		m.send(e, m.newer(a.Entries))
 	}
-	m.fetchIfNewer(ctx, e, a.Version)
+	m.fetchInBackground(e, a.Version)
 	return true
 }
 
@@ -103,11 +103,27 @@
 	return m.roster.NewerThan(theirs)
 }
 
+// fetchInBackground calls fetchIfNewer in the background. It may take longer than the call
+// whose answer named the version.
+func (m *Members) fetchInBackground(e messages.Entry, version int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped || uint64(max(version, 0)) <= m.versions.Version() {
+		return
+	}
+	m.group.Go(func() error {
+		m.fetchIfNewer(e, version)
+		return nil
+	})
+}
+
 // fetchIfNewer fetches a configuration from another node if its version is newer than
 // the applied one and neither this node's own watch nor a read of the store returns
 // it. Only one call at a time fetches: when all nodes answer a broadcast with a
 // higher version, a document from each of them would saturate the link for seconds.
-func (m *Members) fetchIfNewer(ctx context.Context, e messages.Entry, version int) {
+// The others rely on that call, so it ends only with the version, after fetchAttempts or
+// with the node.
+func (m *Members) fetchIfNewer(e messages.Entry, version int) {
 	if uint64(max(version, 0)) <= m.versions.Version() {
 		return
 	}
@@ -121,7 +137,7 @@
 		if uint64(wantedVersion) <= m.versions.Version() || !m.fetching.CompareAndSwap(false, true) {
 			return
 		}
-		m.fetch(ctx, e, wantedVersion)
+		m.fetch(m.ctx, e, wantedVersion)
 		m.fetching.Store(false)
 	}
 }
@@ -144,8 +160,7 @@
 	if uint64(version) <= inForce {
 		return
 	}
-	// The context of the call may be too short for a long document on a slow link.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	m.log.WriteLimited("versionAsked", log.Fields{"from": e.Node, "version": version, "inForce": inForce})
 	a, err := peer.Call[messages.VersionAnswer](ctx, m.endpoint, e.Peer, methodVersion, messages.VersionQuestion{Above: int(inForce)})
--- a/internal/mesh/members/watching.go
+++ b/internal/mesh/members/watching.go
@@ -122,7 +122,7 @@
 		return
 	}
 	m.group.Go(func() error {
-		m.fetchIfNewer(m.ctx, from, q.Version)
+		m.fetchIfNewer(from, q.Version)
 		return nil
 	})
 }
