--- a/internal/mesh/announcements_test.go
+++ b/internal/mesh/announcements_test.go
@@ -156,3 +156,28 @@
 		t.Fatalf("the version was applied after %s, want within %s", took, applyTime)
 	}
 }
+
+// Guards against announcements that reach a node only once: if the node is too busy to
+// answer, it does not learn of the version in time.
+func TestAnnouncementIsRepeated(t *testing.T) {
+	f := newFleet(t)
+	for range 2 {
+		f.add("a", "availability", 4).sendHeartbeat(t, "ready")
+	}
+	var names []string
+	for _, m := range f.nodes {
+		names = append(names, m.cfg.Node)
+		f.eventually("both nodes are known", func() bool { return m.node.NodeCount() == len(f.nodes) })
+	}
+	_, idle := fakeNames("a", names...)
+	busy := f.addFake("a", idle)
+	for _, m := range f.nodes {
+		f.eventually("the node watches", m.node.IsWatching)
+	}
+	const failures = 2
+	busy.mu.Lock()
+	busy.failNews = failures
+	busy.mu.Unlock()
+	f.moveStock(2, "/moved/")
+	f.eventually("the announcement was received after the failures", func() bool { return busy.announced(2) > failures })
+}
--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -60,6 +60,10 @@
 	// time for which a watching node batches versions, it is below the two seconds
 	// in which a version must be applied.
 	minRefreshInterval = 700 * time.Millisecond
+	// newsAttempts bounds the attempts to deliver an announcement to a node, and
+	// newsRetryDelay is the pause between them.
+	newsAttempts   = 3
+	newsRetryDelay = 100 * time.Millisecond
 	// A node is forgotten after minForgetTime without an answer and at least
 	// minForgetMisses failures in a row. The time is longer than a partition usually
 	// lasts. A node that is still running introduces itself again.
@@ -114,8 +118,9 @@
 	// listCount counts the listings of nodes in the store.
 	listCount int
 	// wantedVersion is the highest configuration version that another node has
-	// announced.
-	wantedVersion int
+	// announced, and announcedVersion the highest that this node has announced.
+	wantedVersion    int
+	announcedVersion int
 	// differingSyncs counts the consecutive comparisons that found a difference.
 	differingSyncs int
 	onEarlierEntry func(messages.Entry)
--- a/internal/mesh/members/watching.go
+++ b/internal/mesh/members/watching.go
@@ -8,6 +8,7 @@
 
 	"lavenderdeal/core/rendezvous"
 	"lavenderdeal/internal/mesh/versions"
+	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/peer"
 	messages "lavenderdeal/schema/roster"
 )
@@ -58,41 +59,68 @@
 func (m *Members) announce(version uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	watching := m.watchersLocked()
-	q := messages.News{Node: m.roster.Own().Node, Version: int(version)}
+	own, watching := m.roster.Own(), m.watchersLocked()
+	m.announcedVersion = max(m.announcedVersion, int(version))
+	q := messages.News{Node: own.Node, Version: int(version)}
 	for _, e := range m.roster.Others() {
-		if !slices.Contains(watching, e.Node) {
-			sendLocked(m, e, methodNews, q)
+		if e.Zone == own.Zone && !slices.Contains(watching, e.Node) {
+			m.sendNewsLocked(e, q)
 		}
 	}
 }
 
+// sendNewsLocked sends an announcement to a node in the background. It repeats it if the
+// node does not acknowledge it, unless a higher version was announced in the meantime.
+func (m *Members) sendNewsLocked(to messages.Entry, q messages.News) {
+	if m.stopped || m.endpoint == nil {
+		return
+	}
+	m.group.Go(func() error {
+		for range newsAttempts {
+			err := m.call(to, methodNews, q)
+			if err == nil || m.isOutdated(q.Version) || !wait.For(m.ctx, newsRetryDelay) {
+				return nil
+			}
+		}
+		return nil
+	})
+}
+
+// isOutdated reports whether a higher version than the given one was announced.
+func (m *Members) isOutdated(version int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.announcedVersion > version
+}
+
 // reportSuspect asks the nodes of the zone to check whether a watching node still
 // answers, so that another one watches in its place if not.
 func (m *Members) reportSuspect(suspect messages.Entry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.stopped || m.endpoint == nil {
+		return
+	}
+	zone := m.roster.Own().Zone
 	for _, e := range m.roster.Others() {
-		if e.Node != suspect.Node {
-			sendLocked(m, e, methodSuspect, messages.Suspect{Node: suspect.Node})
+		if e.Node != suspect.Node && e.Zone == zone {
+			m.group.Go(func() error {
+				_ = m.call(e, methodSuspect, messages.Suspect{Node: suspect.Node})
+				return nil
+			})
 		}
 	}
 }
 
-// sendLocked sends a message to a node in the background. It does nothing if the node is
-// in another zone.
-func sendLocked[Q any](m *Members, to messages.Entry, method string, q Q) {
-	if m.stopped || m.endpoint == nil || to.Zone != m.roster.Own().Zone {
-		return
+// call sends a message to a node and logs a failure.
+func (m *Members) call(to messages.Entry, method string, q any) error {
+	ctx, cancel := context.WithTimeout(m.ctx, peerTimeout)
+	defer cancel()
+	_, err := peer.Call[messages.Told](ctx, m.endpoint, to.Peer, method, q)
+	if err != nil {
+		m.log.WriteLimited("notTold", log.Fields{"peer": to.Node, "method": method, "error": err})
 	}
-	m.group.Go(func() error {
-		ctx, cancel := context.WithTimeout(m.ctx, peerTimeout)
-		defer cancel()
-		if _, err := peer.Call[messages.Told](ctx, m.endpoint, to.Peer, method, q); err != nil {
-			m.log.WriteLimited("notTold", log.Fields{"peer": to.Node, "method": method, "error": err})
-		}
-		return nil
-	})
+	return err
 }
 
 // checkReachable compares the roster with a node that another node could not reach, to
