--- a/internal/mesh/announcements_test.go
+++ b/internal/mesh/announcements_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -181,3 +182,57 @@
 	f.moveStock(2, "/moved/")
 	f.eventually("the announcement was received after the failures", func() bool { return busy.announced(2) > failures })
 }
+
+// Guards against a zone without new versions while both nodes that watch for it are cut
+// off from the store alone.
+func TestWatchingNodesCutOff(t *testing.T) {
+	f := newFleet(t)
+	for _, zone := range []string{"a", "a", "a", "a", "a", "b", "b"} {
+		f.add(zone, "availability", 4).sendHeartbeat(t, "ready")
+	}
+	for _, m := range f.nodes {
+		f.eventually("all nodes are known", func() bool { return m.node.NodeCount() == len(f.nodes) })
+	}
+	var watching, others []*member
+	f.eventually("two nodes of the zone watch", func() bool {
+		watching, others = nil, nil
+		for _, m := range f.nodes {
+			switch {
+			case m.cfg.Zone == "a" && m.node.IsWatching():
+				watching = append(watching, m)
+			case m.cfg.Zone == "a":
+				others = append(others, m)
+			}
+		}
+		return len(watching) == 2
+	})
+	// The periodic checks, which may read a copy, must not be needed.
+	f.store.SetCopyLag(time.Minute)
+	for _, m := range watching {
+		m.node.DisconnectStore()
+	}
+	f.moveStock(2, "/moved/")
+	written := time.Now()
+	for _, m := range others {
+		f.waitServed(m, "/moved/1")
+	}
+	if took := time.Since(written); took > applyTime {
+		t.Fatalf("the version was applied after %s, want within %s", took, applyTime)
+	}
+}
+
+// Guards against a node that keeps to itself a version that its check of the store has
+// found although the watching nodes have not announced it.
+func TestMissedVersionIsReported(t *testing.T) {
+	f := newFleet(t)
+	m := f.add("a", "availability", 4)
+	m.sendHeartbeat(t, "ready")
+	f.waitServed(m, "/stock/1")
+	watching, _ := fakeNames("a", m.cfg.Node)
+	first, second := f.addFake("a", watching[0]), f.addFake("a", watching[1])
+	f.eventually("the node does not watch", func() bool { return !m.node.IsWatching() })
+	f.moveStock(2, "/moved/")
+	f.eventually("the watching nodes are told", func() bool { return first.announced(2) > 0 && second.announced(2) > 0 })
+	a, err := f.call(m, http.MethodGet, "/moved/1", "")
+	assertStatus(t, a, err, http.StatusOK)
+}
--- a/internal/mesh/members/sync.go
+++ b/internal/mesh/members/sync.go
@@ -24,7 +24,7 @@
 func (m *Members) syncLoop(ctx context.Context) {
 	for wait.For(ctx, syncInterval/2+rand.N(syncInterval)) {
 		m.mu.Lock()
-		others, watching := m.roster.Others(), m.watchersLocked()
+		others, watching := m.roster.Others(), m.watchersLocked(m.roster.Own().Zone)
 		m.mu.Unlock()
 		if len(others) == 0 {
 			continue
@@ -143,10 +143,10 @@
 }
 
 // fetch waits until the watch or a read of the store should have returned the version,
-// unless this node has no configuration yet. If neither has, it requests the
-// configuration from the node and applies it.
+// unless the store is down or this node has no configuration yet. If neither has, it
+// requests the configuration from the node and applies it.
 func (m *Members) fetch(ctx context.Context, e messages.Entry, version int) {
-	if m.versions.Version() > 0 {
+	if m.versions.Version() > 0 && !m.versions.IsStoreDown() {
 		pause := ownWatchTime
 		if !m.versions.IsWatching() {
 			pause = minRefreshInterval - m.versions.SinceRefresh()
@@ -182,7 +182,7 @@
 		m.log.WriteLimited("nodeNotReached", log.Fields{"peer": e.Node, "error": cause})
 	}
 	n.count++
-	wasWatcher := slices.Contains(m.watchersLocked(), e.Node)
+	wasWatcher := slices.Contains(m.watchersLocked(m.roster.Own().Zone), e.Node)
 	m.missed[e.Node] = n
 	m.updateWatchingLocked()
 	if wasWatcher && !m.stopped {
--- a/internal/mesh/members/watching.go
+++ b/internal/mesh/members/watching.go
@@ -14,12 +14,16 @@
 )
 
 // Notify handles an event of the version follower. A node that watches the store
-// announces each version to the nodes of its zone that don't.
+// announces each version. One that does not, but has found a version by itself, tells
+// the watching nodes of its zone, which may have lost the store.
 func (m *Members) Notify(e versions.Event) {
 	switch e := e.(type) {
 	case versions.Applied:
-		if m.versions.IsWatching() {
-			m.announce(e.Version)
+		switch {
+		case m.versions.IsWatching():
+			m.announce(m.Own().Node, int(e.Version))
+		case e.WasMissed:
+			m.tellWatchers(int(e.Version))
 		}
 	case versions.StoreRecovered:
 		// Check this node's entry in the store at once: it may have been lost.
@@ -38,33 +42,61 @@
 		// When all nodes start at once, the first listing may find no others.
 		return
 	}
-	m.versions.SetWatching(slices.Contains(m.watchersLocked(), m.roster.Own().Node))
+	m.versions.SetWatching(slices.Contains(m.watchersLocked(m.roster.Own().Zone), m.roster.Own().Node))
 }
 
-// watchersLocked returns the nodes that watch the store for this node's zone,
-// according to its own roster.
-func (m *Members) watchersLocked() []string {
-	own := m.roster.Own()
+// watchersLocked returns the nodes that watch the store for a zone, according to this
+// node's roster.
+func (m *Members) watchersLocked(zone string) []string {
 	var nodes []string
 	for _, e := range m.roster.All() {
-		if e.Zone == own.Zone && e.State != messages.EntryStateStopping && m.missed[e.Node].count == 0 {
+		if e.Zone == zone && e.State != messages.EntryStateStopping && m.missed[e.Node].count == 0 {
 			nodes = append(nodes, e.Node)
 		}
 	}
-	return rendezvous.Top("watch/"+own.Zone, nodes, watchersPerZone)
+	return rendezvous.Top("watch/"+zone, nodes, watchersPerZone)
 }
 
-// announce sends the number of a version to the nodes of the zone that don't watch
-// the store.
-func (m *Members) announce(version uint64) {
+// isWatcherLocked reports whether a node watches the store for its zone, according to
+// this node's roster. The watchers of each zone are cached in byZone.
+func (m *Members) isWatcherLocked(e messages.Entry, byZone map[string][]string) bool {
+	watchers, ok := byZone[e.Zone]
+	if !ok {
+		watchers = m.watchersLocked(e.Zone)
+		byZone[e.Zone] = watchers
+	}
+	return slices.Contains(watchers, e.Node)
+}
+
+// announce sends the number of a version, which the given node has applied, to the nodes
+// of the zone that don't watch the store, and to the watching nodes of the other zones,
+// which may have lost the store. It does nothing if a version as high was announced
+// before.
+func (m *Members) announce(node string, version int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	own, watching := m.roster.Own(), m.watchersLocked()
-	m.announcedVersion = max(m.announcedVersion, int(version))
-	q := messages.News{Node: own.Node, Version: int(version)}
+	if version <= m.announcedVersion {
+		return
+	}
+	m.announcedVersion = version
+	byZone := make(map[string][]string)
+	zone := m.roster.Own().Zone
 	for _, e := range m.roster.Others() {
-		if e.Zone == own.Zone && !slices.Contains(watching, e.Node) {
-			m.sendNewsLocked(e, q)
+		if m.isWatcherLocked(e, byZone) != (e.Zone == zone) {
+			m.sendNewsLocked(e, messages.News{Node: node, Version: version})
+		}
+	}
+}
+
+// tellWatchers sends the number of the applied version to the watching nodes of the zone.
+func (m *Members) tellWatchers(version int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own := m.roster.Own()
+	watchers := m.watchersLocked(own.Zone)
+	for _, e := range m.roster.Others() {
+		if slices.Contains(watchers, e.Node) {
+			m.sendNewsLocked(e, messages.News{Node: own.Node, Version: version})
 		}
 	}
 }
@@ -141,16 +173,21 @@
 }
 
 // handleNews fetches a version that another node has announced, if it is newer than the
-// applied one.
+// applied one. A node that watches the store also passes the announcement on at once:
+// the others need not wait until it has the version itself.
 func (m *Members) handleNews(q messages.News) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	from, ok := m.roster.Get(q.Node)
 	if !ok || m.stopped || uint64(max(q.Version, 0)) <= m.versions.Version() {
+		m.mu.Unlock()
 		return
 	}
 	m.group.Go(func() error {
 		m.fetchIfNewer(from, q.Version)
 		return nil
 	})
+	m.mu.Unlock()
+	if m.versions.IsWatching() {
+		m.announce(q.Node, q.Version)
+	}
 }
--- a/internal/mesh/versions/versions.go
+++ b/internal/mesh/versions/versions.go
@@ -108,7 +108,12 @@
 type Event interface{ implementsEvent() }
 
 // Applied is sent when a version has been applied.
-type Applied struct{ Version uint64 }
+type Applied struct {
+	Version uint64
+	// WasMissed is set if a periodic check found the version, so no other node has
+	// announced it yet.
+	WasMissed bool
+}
 
 // StoreRecovered is sent when the store answers again after an outage.
 type StoreRecovered struct{}
@@ -140,6 +145,10 @@
 	}
 }
 
+// IsStoreDown reports whether the store has not answered the last call of the loops that
+// follow it.
+func (f *Follower) IsStoreDown() bool { return f.storeDown.Load() }
+
 // IsWatching reports whether the node watches the store.
 func (f *Follower) IsWatching() bool { return f.watching.Load() }
 
@@ -222,7 +231,7 @@
 			"version": t.Version(), "before": before, "source": source, "routes": t.Len(),
 			"revision": c.ContentRevision, "storeRevision": c.Revision,
 		})
-		f.emit(Applied{Version: t.Version()})
+		f.emit(Applied{Version: t.Version(), WasMissed: source == sourceCheck})
 	}
 }
 
