--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -18,6 +18,8 @@
 
 import (
 	"time"
+
+	"lavenderdeal/core/tokenbucket"
 )
 
 const (
@@ -66,9 +68,7 @@
 
 // entry is the state of one customer.
 type entry struct {
-	// tokens is the level of the token bucket, in calls, at the time at.
-	tokens float64
-	at     time.Time
+	bucket tokenbucket.Bucket
 	// running is the number of admitted calls that were not released.
 	running int
 }
@@ -105,22 +105,15 @@
 	}
 }
 
-// takeToken refills the token bucket and takes a token. Rate is in calls per second.
+// takeToken takes a token from the token bucket. Rate is in calls per second.
 func (e *entry) takeToken(now time.Time, rate float64) (Refused, bool) {
-	elapsed := max(now.Sub(e.at).Seconds(), 0)
-	e.tokens = min(e.tokens+rate*elapsed, burst(rate))
-	e.at = now
-	if e.tokens >= 1 {
-		e.tokens--
+	if e.bucket.Take(now, rate) {
 		return Refused{}, true
 	}
-	wait := time.Duration((1 - e.tokens) / rate * float64(time.Second))
+	wait := e.bucket.Wait(now, rate, 1)
 	return Refused{Rule: RuleRate, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}, false
 }
 
-// burst returns the capacity of a token bucket, in calls. It is at least one call.
-func burst(rate float64) float64 { return max(rate*burstTime.Seconds(), 1) }
-
 // entryFor returns the customer's entry and moves it to recent. A new entry starts with a
 // full token bucket.
 func (t *Table) entryFor(now time.Time, customer string, l Limits, servers int) *entry {
@@ -129,7 +122,7 @@
 	}
 	e := t.previous[customer]
 	if e == nil {
-		e = &entry{tokens: burst(l.CallsPerSecond / float64(servers)), at: now}
+		e = &entry{bucket: tokenbucket.Full(now, l.CallsPerSecond/float64(servers), burstTime)}
 	}
 	if t.recent == nil || len(t.recent) >= maxCustomers/2 {
 		t.rotate()
