--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -109,6 +109,9 @@
 	// down is set when the server has refused a connection since its last accepted
 	// heartbeat.
 	down bool
+	// rateLimit is the number of requests a second that the server takes by its last
+	// answer, or 0 without a limit.
+	rateLimit float64
 }
 
 // New returns a Server whose backend server has not sent a heartbeat yet. It calls
@@ -125,8 +128,12 @@
 func (s *Server) Heartbeat(m heartbeats.Message) error {
 	now := time.Now()
 	s.mu.Lock()
+	before, _, _ := s.beats.Current()
 	outcome := s.beats.Handle(now, m)
 	accepted, ok := outcome.(heartbeats.Accepted)
+	if !s.isCurrentLocked(before) {
+		s.setRateLimitLocked(0)
+	}
 	changed := ok && (accepted.Changed || s.down)
 	if ok {
 		s.down = false
@@ -354,6 +361,7 @@
 		return s.failedResult(ctx, err), nil
 	}
 	info := platform.ReadAnswer(answer.Status, answer.Header)
+	s.applyAnswer(m, info)
 	switch {
 	case info.NotRun && !info.Signed:
 		return hop.Result{Verdict: hop.NotRun, Rule: RuleServerFull, ReachedServer: true}, nil
@@ -369,6 +377,49 @@
 	return hop.Result{Verdict: hop.Ran, ReachedServer: true}, answer
 }
 
+// isCurrentLocked reports whether a message is from the current run of the server.
+func (s *Server) isCurrentLocked(m heartbeats.Message) bool {
+	current, _, _ := s.beats.Current()
+	return current.ID == m.ID && current.Started.Equal(m.Started)
+}
+
+// applyAnswer applies what an answer says of the server: the rate of requests that it
+// takes. The message identifies the run of the server that the request was sent to.
+func (s *Server) applyAnswer(run heartbeats.Message, info platform.AnswerHeaders) {
+	if info.InvalidRateLimit != "" {
+		s.log.WriteLimited("limitUnreadable", log.Fields{"server": run.ID, "limit": info.InvalidRateLimit})
+		return
+	}
+	rateLimit := 0.0
+	if info.HasRateLimit {
+		rateLimit = info.RateLimit
+	}
+	s.mu.Lock()
+	before := s.rateLimit
+	// An answer without a signature may not be the server's, so it ends no limit.
+	if s.isCurrentLocked(run) && rateLimit != before && (info.HasRateLimit || info.Signed) {
+		s.setRateLimitLocked(rateLimit)
+	}
+	after := s.rateLimit
+	s.mu.Unlock()
+	if after != before {
+		s.log.WriteLimited("serverLimited", log.Fields{"server": run.ID, "perSecond": after, "before": before})
+	}
+}
+
+// setRateLimitLocked records the number of requests a second that the server takes.
+func (s *Server) setRateLimitLocked(perSecond float64) {
+	s.rateLimit = perSecond
+}
+
+// RateLimit returns the number of requests a second that the server takes by its last
+// answer, or 0 without a limit.
+func (s *Server) RateLimit() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rateLimit
+}
+
 // failedResult returns the result of a request for which the server has not returned a
 // whole answer. It marks the server as down if the request could not be sent.
 func (s *Server) failedResult(ctx context.Context, err error) hop.Result {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -194,6 +194,7 @@
 	n.meter.Gauge("server_running", "requests", "requests that run on the own server", running)
 	n.meter.Gauge("server_queued", "requests", "requests that wait for a slot of the own server", queued)
 	n.meter.Gauge("server_slots", "requests", "requests that the own server runs at once; 0 when it takes none", slots)
+	n.meter.Gauge("server_rate_limit", "requests per second", "requests a second that the own server takes; 0 without a limit", n.local.RateLimit)
 	n.meter.Gauge("server_failing", "parts of one", "recent requests that the own server failed", func() float64 { return n.local.Load("").FailureRate })
 	n.meter.Gauge("server_connections", "connections", "connections opened to the own server until now", func() float64 { return float64(n.serverPool.Dials()) })
 	n.meter.Gauge("requests_in_flight", "requests", "requests of callers and of other nodes without an answer", func() float64 { return float64(n.proxy.InFlight()) })
