--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -29,6 +29,12 @@
 // intervals the oldest request that is not late goes first, so that no rank
 // starves.
 //
+// # Rate limit
+//
+// A server may name the number of requests that it takes a second, which SetRate sets.
+// Requests above it wait in the queue although slots are free. NextStart returns when
+// Advance will start the next of them.
+//
 // # Refusals
 //
 // A request is queued only if, by the measured running times, it is expected to
@@ -39,7 +45,10 @@
 package gate
 
 import (
+	"math"
 	"time"
+
+	"lavenderdeal/core/tokenbucket"
 )
 
 const (
@@ -60,11 +69,18 @@
 	// oldestFirstEvery gives every n-th free slot to the oldest request that is not
 	// late.
 	oldestFirstEvery = 8
+	// rateBurst is the time for which a server with a rate limit may get requests in
+	// advance after a pause.
+	rateBurst = 250 * time.Millisecond
 	// minRetryAfter is the shortest Retry-After, about the running time of one
 	// short request.
 	minRetryAfter = 50 * time.Millisecond
 )
 
+// MinRate is the lowest rate limit, in requests per second. A server that gets no request
+// cannot say that its limit has ended.
+const MinRate = 0.5
+
 // Request describes a request to the gate.
 type Request struct {
 	// ID is unique among the requests of a gate.
@@ -128,8 +144,12 @@
 // create one. It is not safe for concurrent use.
 type Gate struct {
 	// limit is the number of slots.
-	limit     int
-	closed    bool
+	limit  int
+	closed bool
+	// rate is the number of requests that may start a second, or 0 without a limit.
+	// bucket holds the starts that it allows now.
+	rate      float64
+	bucket    tokenbucket.Bucket
 	running   map[uint64]run
 	queue     []Request
 	decisions []Decision
@@ -160,6 +180,31 @@
 	g.fillSlots(now)
 }
 
+// SetRate limits the number of requests that start a second. Zero ends the limit. A
+// limit below MinRate is raised to it.
+func (g *Gate) SetRate(now time.Time, perSecond float64) {
+	if perSecond > 0 {
+		perSecond = max(perSecond, MinRate)
+	}
+	if g.rate == 0 {
+		g.bucket = tokenbucket.Full(now, perSecond, rateBurst)
+	}
+	g.rate = perSecond
+	g.fillSlots(now)
+}
+
+// NextStart returns the time until Advance starts a queued request because the rate limit
+// allows it. It returns false if the queue is empty or waits for a slot.
+func (g *Gate) NextStart(now time.Time) (time.Duration, bool) {
+	if g.rate == 0 || len(g.queue) == 0 || len(g.running) >= g.limit {
+		return 0, false
+	}
+	return g.bucket.Wait(now, g.rate, 1), true
+}
+
+// Advance starts the queued requests that the rate limit allows now.
+func (g *Gate) Advance(now time.Time) { g.fillSlots(now) }
+
 // Close refuses the queued requests and all later ones until SetLimit. Running
 // requests go on.
 func (g *Gate) Close() {
@@ -170,9 +215,14 @@
 	g.queue = g.queue[:0]
 }
 
-// Load returns the number of running requests, of queued requests and of slots.
+// Load returns the number of running requests, of queued requests and of slots. Under a
+// rate limit, only the slots that it keeps busy count.
 func (g *Gate) Load() (running, queued, limit int) {
-	return len(g.running), len(g.queue), g.limit
+	limit = g.limit
+	if g.rate > 0 && g.mean > 0 && limit > 0 {
+		limit = min(limit, max(1, int(math.Ceil(g.rate*g.mean.Seconds()))))
+	}
+	return len(g.running), len(g.queue), limit
 }
 
 // MeanRunTime returns the moving average of the class's running time, or zero if
@@ -203,21 +253,21 @@
 	if !now.Before(r.Deadline) {
 		return Refused{Rule: RuleDeadline}
 	}
-	if len(g.running) < g.limit && len(g.queue) == 0 {
+	if g.hasFreeSlot(now) && len(g.queue) == 0 {
 		return Started{}
 	}
 	if g.isFull() && !g.precedes(now, r, g.queue[g.lastIndex(now)]) {
-		return Refused{Rule: RuleFull, RetryAfter: g.retryAfter(len(g.queue))}
+		return Refused{Rule: RuleFull, RetryAfter: g.retryAfter(now, len(g.queue))}
 	}
 	runTime := g.runTime(r)
 	requestsAhead := g.requestsAhead(now, r)
-	end := now.Add(g.expectedWait(requestsAhead) + runTime)
+	end := now.Add(g.expectedWait(now, requestsAhead) + runTime)
 	switch {
 	case !end.Add(time.Duration(earlyMargin * float64(runTime))).After(r.Target):
 	case r.Inner && !end.After(r.Deadline):
 	case r.AllowLate && !end.After(r.Deadline) && g.hasLateRoom(now):
 	default:
-		return Refused{Rule: RuleLate, RetryAfter: g.retryAfter(requestsAhead)}
+		return Refused{Rule: RuleLate, RetryAfter: g.retryAfter(now, requestsAhead)}
 	}
 	return Queued{Until: r.Deadline.Add(-runTime / 2)}
 }
@@ -258,6 +308,9 @@
 }
 
 func (g *Gate) start(now time.Time, r Request) {
+	if g.rate > 0 {
+		g.bucket.Take(now, g.rate)
+	}
 	g.running[r.ID] = run{class: r.Class, since: now}
 }
 
@@ -265,16 +318,21 @@
 	g.decisions = append(g.decisions, Decision{ID: id, Outcome: o})
 }
 
+// hasFreeSlot reports whether a slot is free and the rate limit allows a start.
+func (g *Gate) hasFreeSlot(now time.Time) bool {
+	return len(g.running) < g.limit && (g.rate == 0 || g.bucket.Wait(now, g.rate, 1) == 0)
+}
+
 // fillSlots starts queued requests while slots are free. It refuses requests that
 // have less than half of their running time left until the deadline.
 func (g *Gate) fillSlots(now time.Time) {
-	for len(g.running) < g.limit && len(g.queue) > 0 {
+	for len(g.queue) > 0 && g.hasFreeSlot(now) {
 		g.freedSlots++
 		i := g.nextIndex(now)
 		r := g.queue[i]
 		g.queue = append(g.queue[:i], g.queue[i+1:]...)
 		if now.Add(g.runTime(r) / 2).After(r.Deadline) {
-			g.addDecision(r.ID, Refused{Rule: RuleDeadline, RetryAfter: g.retryAfter(0)})
+			g.addDecision(r.ID, Refused{Rule: RuleDeadline, RetryAfter: g.retryAfter(now, 0)})
 			continue
 		}
 		g.start(now, r)
@@ -292,7 +350,7 @@
 			if room--; room >= 0 {
 				continue
 			}
-			g.addDecision(r.ID, Refused{Rule: RuleLate, RetryAfter: g.retryAfter(len(g.queue))})
+			g.addDecision(r.ID, Refused{Rule: RuleLate, RetryAfter: g.retryAfter(now, len(g.queue))})
 			g.queue = append(g.queue[:i], g.queue[i+1:]...)
 		}
 	}
@@ -355,7 +413,7 @@
 // evict refuses the queued request that would get a slot last.
 func (g *Gate) evict(now time.Time) {
 	last := g.lastIndex(now)
-	g.addDecision(g.queue[last].ID, Refused{Rule: RuleFull, RetryAfter: g.retryAfter(len(g.queue))})
+	g.addDecision(g.queue[last].ID, Refused{Rule: RuleFull, RetryAfter: g.retryAfter(now, len(g.queue))})
 	g.queue = append(g.queue[:last], g.queue[last+1:]...)
 }
 
@@ -377,14 +435,21 @@
 
 // expectedWait returns the expected time until a slot is free for a request with n
 // requests ahead of it.
-func (g *Gate) expectedWait(n int) time.Duration {
-	return g.mean * time.Duration(n+1) / time.Duration(g.limit)
+func (g *Gate) expectedWait(now time.Time, n int) time.Duration {
+	wait := g.mean * time.Duration(n+1) / time.Duration(g.limit)
+	if g.rate == 0 {
+		return wait
+	}
+	if len(g.running) < g.limit {
+		wait = 0
+	}
+	return max(wait, g.bucket.Wait(now, g.rate, n+1))
 }
 
 // retryAfter returns the Retry-After of a refused request with that many requests ahead
 // of it.
-func (g *Gate) retryAfter(requestsAhead int) time.Duration {
-	return max(minRetryAfter, g.expectedWait(requestsAhead))
+func (g *Gate) retryAfter(now time.Time, requestsAhead int) time.Duration {
+	return max(minRetryAfter, g.expectedWait(now, requestsAhead))
 }
 
 // runTime returns the expected running time of r, or zero if none was measured.
--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -392,7 +392,7 @@
 	}
 	rateLimit := 0.0
 	if info.HasRateLimit {
-		rateLimit = info.RateLimit
+		rateLimit = max(info.RateLimit, gate.MinRate)
 	}
 	s.mu.Lock()
 	before := s.rateLimit
@@ -407,9 +407,10 @@
 	}
 }
 
-// setRateLimitLocked records the number of requests a second that the server takes.
+// setRateLimitLocked sets the number of requests a second that are sent to the server.
 func (s *Server) setRateLimitLocked(perSecond float64) {
 	s.rateLimit = perSecond
+	s.queue.Update(func(g *gate.Gate) { g.SetRate(time.Now(), perSecond) })
 }
 
 // RateLimit returns the number of requests a second that the server takes by its last
--- a/internal/mesh/local/local_test.go
+++ b/internal/mesh/local/local_test.go
@@ -91,3 +91,82 @@
 		assertNotRun(t, backend, run(s, "i-1"), local.RuleNoServer)
 	})
 }
+
+// Guards against a server that gets more requests than the limit that it names in its
+// answers, for as long as it names one.
+func TestServerLimit(t *testing.T) {
+	const (
+		perSecond = 20.0
+		length    = 2 * time.Second
+		callers   = 8
+	)
+	s, backend, m := newServer(t)
+	m.Slots, m.Sequence = callers, m.Sequence+1
+	if err := s.Heartbeat(m); err != nil {
+		t.Fatal(err)
+	}
+	setLimit := func(text string) {
+		backend.SetAnswer(func(w http.ResponseWriter, _ *http.Request) bool {
+			if text != "" {
+				w.Header().Set("Server-Limit", text)
+			}
+			return false
+		})
+	}
+	// load sends requests for some time and returns how many the server ran.
+	load := func(t *testing.T, length time.Duration) int {
+		before := len(backend.Runs())
+		var group errgroup.Group
+		for range callers {
+			group.Go(func() error {
+				for started := time.Now(); time.Since(started) < length; {
+					run(s, "i-1")
+					time.Sleep(5 * time.Millisecond)
+				}
+				return nil
+			})
+		}
+		if err := group.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		return len(backend.Runs()) - before
+	}
+	assertLimited := func(t *testing.T) {
+		t.Helper()
+		const allowed = int(1.5*perSecond*2) + 5
+		if n := load(t, length); n > allowed {
+			t.Fatalf("the server ran %d requests in %s, want at most %d", n, length, allowed)
+		}
+	}
+	run(s, "i-1")
+	t.Run("a limit", func(t *testing.T) {
+		setLimit("20")
+		run(s, "i-1")
+		assertLimited(t)
+	})
+	t.Run("an unreadable limit keeps the one before", func(t *testing.T) {
+		setLimit("many")
+		run(s, "i-1")
+		assertLimited(t)
+	})
+	t.Run("no limit any more", func(t *testing.T) {
+		setLimit("")
+		time.Sleep(100 * time.Millisecond)
+		run(s, "i-1")
+		if n := load(t, length); n < int(3*perSecond*2) {
+			t.Fatalf("the server ran %d requests in %s after its limit had ended", n, length)
+		}
+	})
+	t.Run("a restarted server has no limit", func(t *testing.T) {
+		setLimit("0.1")
+		run(s, "i-1")
+		setLimit("")
+		m.Started, m.Sequence = m.Started.Add(time.Second), 1
+		if err := s.Heartbeat(m); err != nil {
+			t.Fatal(err)
+		}
+		if got := s.RateLimit(); got != 0 {
+			t.Fatalf("limit %v after the restart, want none", got)
+		}
+	})
+}
--- a/internal/mesh/waitqueue/waitqueue.go
+++ b/internal/mesh/waitqueue/waitqueue.go
@@ -34,6 +34,8 @@
 	lastID uint64
 	// waiting holds the channel on which each queued request gets its outcome, by ID.
 	waiting map[uint64]chan gate.Outcome
+	// starter starts the requests that wait for the gate's rate limit.
+	starter *time.Timer
 }
 
 // New returns a queue whose gate has no slots yet. Use Update to set their number.
@@ -100,7 +102,8 @@
 	return running, queued, limit, q.gate.MeanRunTime(class)
 }
 
-// wakeLocked passes the decisions of the gate to the waiting requests.
+// wakeLocked passes the decisions of the gate to the waiting requests, and schedules the
+// next start that a rate limit allows.
 func (q *Queue) wakeLocked() {
 	for _, d := range q.gate.Decisions() {
 		if c := q.waiting[d.ID]; c != nil {
@@ -108,6 +111,14 @@
 			c <- d.Outcome
 		}
 	}
+	after, ok := q.gate.NextStart(time.Now())
+	switch {
+	case !ok:
+	case q.starter == nil:
+		q.starter = time.AfterFunc(after, func() { q.Update(func(g *gate.Gate) { g.Advance(time.Now()) }) })
+	default:
+		q.starter.Reset(after)
+	}
 }
 
 // await waits for the decision on a queued request. It cancels the request when ctx
