--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -67,6 +67,12 @@
 	RuleQuarantined = crashes.RuleQuarantined
 )
 
+// The sources that say that the server is leaving, for the log.
+const (
+	sourceMessage = "message"
+	sourceAnswer  = "answer"
+)
+
 // State is the state of the backend server that the node publishes to other nodes.
 type State struct {
 	// Instance identifies the process of the server, or is empty if none is known.
@@ -132,7 +138,7 @@
 	outcome := s.beats.Handle(now, m)
 	accepted, ok := outcome.(heartbeats.Accepted)
 	if !s.isCurrentLocked(before) {
-		s.setRateLimitLocked(0)
+		s.setRateLimitLocked(now, 0)
 	}
 	changed := ok && (accepted.Changed || s.down)
 	if ok {
@@ -168,7 +174,7 @@
 	s.applyLocked(now)
 	state := s.stateLocked()
 	s.mu.Unlock()
-	s.log.WriteLimited("serverLeft", log.Fields{"server": id, "known": changed})
+	s.log.WriteLimited("serverLeft", log.Fields{"server": id, "known": changed, "source": sourceMessage})
 	if changed {
 		s.onChange(state)
 	}
@@ -384,33 +390,47 @@
 }
 
 // applyAnswer applies what an answer says of the server: the rate of requests that it
-// takes. The message identifies the run of the server that the request was sent to.
+// takes, and whether it is leaving. The message identifies the run of the server that the
+// request was sent to.
 func (s *Server) applyAnswer(run heartbeats.Message, info platform.AnswerHeaders) {
-	if info.InvalidRateLimit != "" {
-		s.log.WriteLimited("limitUnreadable", log.Fields{"server": run.ID, "limit": info.InvalidRateLimit})
-		return
-	}
+	now := time.Now()
 	rateLimit := 0.0
 	if info.HasRateLimit {
 		rateLimit = max(info.RateLimit, gate.MinRate)
 	}
+	// An answer without a signature may not be the server's, so it ends no limit.
+	knowsLimit := info.HasRateLimit || info.Signed && info.InvalidRateLimit == ""
 	s.mu.Lock()
+	if !s.isCurrentLocked(run) {
+		s.mu.Unlock()
+		return
+	}
+	leaves := info.Leaving && s.beats.Leave(now, run.ID)
+	if leaves {
+		s.applyLocked(now)
+	}
 	before := s.rateLimit
-	// An answer without a signature may not be the server's, so it ends no limit.
-	if s.isCurrentLocked(run) && rateLimit != before && (info.HasRateLimit || info.Signed) {
-		s.setRateLimitLocked(rateLimit)
+	if knowsLimit && rateLimit != before {
+		s.setRateLimitLocked(now, rateLimit)
 	}
-	after := s.rateLimit
+	after, state := s.rateLimit, s.stateLocked()
 	s.mu.Unlock()
+	if info.InvalidRateLimit != "" {
+		s.log.WriteLimited("limitUnreadable", log.Fields{"server": run.ID, "limit": info.InvalidRateLimit})
+	}
 	if after != before {
 		s.log.WriteLimited("serverLimited", log.Fields{"server": run.ID, "perSecond": after, "before": before})
 	}
+	if leaves {
+		s.log.WriteLimited("serverLeft", log.Fields{"server": run.ID, "known": true, "source": sourceAnswer})
+		s.onChange(state)
+	}
 }
 
 // setRateLimitLocked sets the number of requests a second that are sent to the server.
-func (s *Server) setRateLimitLocked(perSecond float64) {
+func (s *Server) setRateLimitLocked(now time.Time, perSecond float64) {
 	s.rateLimit = perSecond
-	s.queue.Update(func(g *gate.Gate) { g.SetRate(time.Now(), perSecond) })
+	s.queue.Update(func(g *gate.Gate) { g.SetRate(now, perSecond) })
 }
 
 // RateLimit returns the number of requests a second that the server takes by its last
--- a/internal/mesh/local/local_test.go
+++ b/internal/mesh/local/local_test.go
@@ -170,3 +170,53 @@
 		}
 	})
 }
+
+// Guards against requests that reach a server later than the drain time after it has said
+// in an answer that it is leaving.
+func TestServerLeavingInAnswer(t *testing.T) {
+	leave := func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("Server-Leaving", "1")
+		return false
+	}
+	t.Run("no request after the drain time", func(t *testing.T) {
+		s, backend, m := newServer(t)
+		backend.SetAnswer(leave)
+		run(s, "i-1")
+		left := time.Now()
+		if !s.State().Leaving {
+			t.Fatal("the state does not say that the server is leaving")
+		}
+		m.Sequence++
+		if err := s.Heartbeat(m); err != nil {
+			t.Fatal(err)
+		}
+		for time.Since(left) < 2*drain {
+			run(s, "i-1")
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, r := range backend.Runs() {
+			if after := r.At.Sub(left); after > drain {
+				t.Fatalf("a request reached the server %s after its answer, want at most %s", after, drain)
+			}
+		}
+	})
+	t.Run("an answer of an earlier run", func(t *testing.T) {
+		const runTime = 300 * time.Millisecond
+		s, backend, m := newServer(t)
+		backend.SetAnswer(leave)
+		backend.SetRunTime(runTime)
+		var group errgroup.Group
+		group.Go(func() error { run(s, "i-1"); return nil })
+		time.Sleep(runTime / 3)
+		m.Started, m.Sequence = m.Started.Add(time.Second), 1
+		if err := s.Heartbeat(m); err != nil {
+			t.Fatal(err)
+		}
+		if err := group.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		if !s.State().Ready {
+			t.Fatalf("state %+v, want a server that takes requests", s.State())
+		}
+	})
+}
