--- a/internal/mesh/versions/versions.go
+++ b/internal/mesh/versions/versions.go
@@ -455,7 +455,11 @@
 	if err != nil {
 		return platform.Config{}, err
 	}
-	return platform.ReadConfigPage(body)
+	c, err := platform.ReadConfigPage(body)
+	if c.Unreadable > 0 {
+		f.log.WriteLimited("configUnreadable", log.Fields{"count": c.Unreadable, "revision": c.Revision, "inForce": f.Version()})
+	}
+	return c, err
 }
 
 // readOrWatch reads the configuration if since is 0 and watches for changes otherwise.
