--- a/internal/mesh/local/refusal_test.go
+++ b/internal/mesh/local/refusal_test.go
@@ -73,7 +73,9 @@
 		{"before the answer", func(_ int, id string) string { return refusal("r-1") + success(id) }, hop.Ran},
 		{"in place of the answer", func(int, string) string { return refusal("r-1") }, hop.Unknown},
 		{"without an id", func(int, string) string { return refusal("") }, hop.Unknown},
-		{"many times", func(int, string) string { return refusal("r-1") + refusal("r-1") + refusal("r-1") + refusal("r-1") + refusal("r-1") }, hop.Unknown},
+		{"many times", func(int, string) string {
+			return refusal("r-1") + refusal("r-1") + refusal("r-1") + refusal("r-1") + refusal("r-1")
+		}, hop.Unknown},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			addr := startScript(t, func(n int, id string) string {
