--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -80,6 +80,9 @@
 	serverIdleTimeout = 2 * time.Minute
 	// maxHeartbeatBytes bounds the body of a heartbeat.
 	maxHeartbeatBytes = 64 << 10
+	// bodyMemoryDivisor is the part of the node's memory that unfinished bodies of answers
+	// from one kind of sender may take.
+	bodyMemoryDivisor = 6
 	// shutdownTimeout bounds the wait for requests that arrive while the listeners
 	// close.
 	shutdownTimeout = 200 * time.Millisecond
@@ -116,7 +119,7 @@
 // Start starts a node, which runs until Stop or Kill is called. It returns an error if
 // the node cannot listen on one of its addresses.
 func Start(cfg settings.Settings, l *jsonlog.Log) (*Node, error) {
-	n := &Node{cfg: cfg, log: l, serverPool: http1.New(), store: store.New(cfg.Store)}
+	n := &Node{cfg: cfg, log: l, serverPool: http1.New(http1.WithBodyMemory(bodyMemory(cfg.Memory))), store: store.New(cfg.Store)}
 	n.versions = versions.New(n.store, l, func(e versions.Event) { n.members.Notify(e) })
 	n.members = members.New(messages.Entry{
 		Node: cfg.Node, Epoch: int(time.Now().UnixMilli()), Zone: cfg.Zone, Service: cfg.Service,
@@ -133,6 +136,7 @@
 		proxy.WithRetryBudget(budgetBound(cfg.Repeats)),
 		proxy.WithMaxTransfers(max(minTransfers, cfg.Link/linkMbitPerTransfer)),
 		proxy.WithMeter(&n.meter),
+		proxy.WithBodyMemory(bodyMemory(cfg.Memory)),
 	)
 	n.registerMetrics()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -148,6 +152,10 @@
 	return n, nil
 }
 
+// bodyMemory returns the memory, in bytes, for unfinished bodies of answers on a node with
+// a number of MiB. The server's answers and those of other nodes have as much each.
+func bodyMemory(mib int) int64 { return int64(mib) << 20 / bodyMemoryDivisor }
+
 // advertisedAddr returns the address that is sent to other nodes: addr, or the listen
 // address if addr is nil.
 func advertisedAddr(addr *netip.AddrPort, listen netip.AddrPort) netip.AddrPort {
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -100,6 +100,7 @@
 	members  *members.Members
 	local    *local.Server
 	pool     *http1.Pool
+	poolOpts []http1.Option
 	log      *jsonlog.Log
 	// link has a slot for each long body that may be received at once.
 	link *waitqueue.Queue
@@ -134,6 +135,11 @@
 	return func(p *Proxy) { p.link.Update(func(g *gate.Gate) { g.SetLimit(time.Now(), n) }) }
 }
 
+// WithBodyMemory bounds the memory, in bytes, of unfinished answers of other nodes.
+func WithBodyMemory(n int64) Option {
+	return func(p *Proxy) { p.poolOpts = append(p.poolOpts, http1.WithBodyMemory(n)) }
+}
+
 // WithMeter sets the meter that counts requests.
 func WithMeter(m *meter.Meter) Option {
 	return func(p *Proxy) { p.meter = m }
@@ -143,14 +149,15 @@
 // the nodes of m, and runs those for this node's own server through l.
 func New(self Self, v *versions.Follower, m *members.Members, l *local.Server, lg *jsonlog.Log, opts ...Option) *Proxy {
 	p := &Proxy{
-		self: self, versions: v, members: m, local: l, log: lg, pool: http1.New(),
+		self: self, versions: v, members: m, local: l, log: lg,
 		link: waitqueue.New(), budget: retrybudget.New(retrybudget.Bound{Window: time.Second}), meter: &meter.Meter{},
 	}
-	p.prober = probe.New(p.pool, lg)
 	WithMaxTransfers(1)(p)
 	for _, opt := range opts {
 		opt(p)
 	}
+	p.pool = http1.New(p.poolOpts...)
+	p.prober = probe.New(p.pool, lg)
 	return p
 }
 
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -18,7 +18,8 @@
 // # Complete answers
 //
 // An answer is returned only after its whole body was received. A body that is cut
-// short is an error.
+// short is an error. So is a head or a body without end: the bytes of a head, of a body and
+// of all unfinished bodies together are bounded, since they are kept in memory.
 package http1
 
 import (
@@ -26,12 +27,14 @@
 	"context"
 	stderrors "errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,8 +62,15 @@
 	// answer is read. A longer one is written concurrently, since the server may answer
 	// early.
 	maxInlineBody = 4 << 10
-	// maxBody bounds an answer's body, in bytes.
-	maxBody = 64 << 20
+	// maxHead bounds the status line and the header of an answer, in bytes.
+	maxHead = 64 << 10
+	// maxBody bounds an answer's body, in bytes, and defaultBodyMemory the memory of all
+	// unfinished bodies beyond initialBody each.
+	maxBody           = 64 << 20
+	defaultBodyMemory = 64 << 20
+	// initialBody is the size up to which the memory of a body is allocated at once, in
+	// bytes.
+	initialBody = 64 << 10
 	// maxAnswers bounds the answers that are read for one request, including interim
 	// answers (1xx) and those to other requests, which are skipped.
 	maxAnswers = 4
@@ -122,6 +132,10 @@
 type Pool struct {
 	dialer net.Dialer
 	group  errgroup.Group
+	// bodyMemory bounds bodyBytes, the memory of unfinished bodies beyond initialBody
+	// each.
+	bodyMemory int64
+	bodyBytes  atomic.Int64
 
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*conn
@@ -129,10 +143,37 @@
 	dials  uint64
 }
 
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithBodyMemory bounds the memory, in bytes, that all unfinished bodies of answers take
+// beyond 64 KiB each. An answer that needs more is an error.
+func WithBodyMemory(n int64) Option { return func(p *Pool) { p.bodyMemory = n } }
+
+// boundedReader reads from a connection until a number of bytes is used up.
+type boundedReader struct {
+	conn net.Conn
+	left int64
+}
+
+// errTooLong is the error of an answer that is longer than its bound.
+var errTooLong = errors.New("the answer is too long")
+
+func (r *boundedReader) Read(b []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := r.conn.Read(b[:min(int64(len(b)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
+
 type conn struct {
 	net.Conn
 	raw    syscall.RawConn
 	reader *bufio.Reader
+	// bound is what reader reads from.
+	bound *boundedReader
 	// buf is reused to encode the head and a short body of each request.
 	buf []byte
 	// idleSince is when the connection became idle, and idleTimeout how long it may stay
@@ -142,9 +183,12 @@
 }
 
 // New returns an empty pool.
-func New() *Pool {
-	p := &Pool{idle: make(map[netip.AddrPort][]*conn)}
+func New(opts ...Option) *Pool {
+	p := &Pool{idle: make(map[netip.AddrPort][]*conn), bodyMemory: defaultBodyMemory}
 	p.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	for _, opt := range opts {
+		opt(p)
+	}
 	return p
 }
 
@@ -215,7 +259,7 @@
 		if _, err := c.Write(c.buf); err != nil {
 			return nil, false, errors.Wrap(err, "write")
 		}
-		answer, _, err := c.read(r, true)
+		answer, _, err := p.read(c, r, true)
 		if err != nil || answer != nil {
 			return answer, false, err
 		}
@@ -236,7 +280,7 @@
 			return nil
 		})
 	}
-	answer, reuse, err := c.read(r, false)
+	answer, reuse, err := p.read(c, r, false)
 	if !written {
 		select {
 		case written = <-wrote:
@@ -280,8 +324,9 @@
 
 // read returns the answer and whether the connection can be reused. If awaitContinue
 // is set, it returns a nil answer once the server has sent 100 Continue.
-func (c *conn) read(r *Request, awaitContinue bool) (*Response, bool, error) {
+func (p *Pool) read(c *conn, r *Request, awaitContinue bool) (*Response, bool, error) {
 	for range maxAnswers {
+		c.bound.left = maxHead
 		raw, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read answer")
@@ -292,7 +337,8 @@
 		if raw.StatusCode >= 100 && raw.StatusCode < 200 {
 			continue
 		}
-		body, err := readBody(r.Method, raw)
+		c.bound.left = math.MaxInt64
+		body, err := p.readBody(c, r.Method, raw)
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read answer's body")
 		}
@@ -309,24 +355,51 @@
 	return nil, false, errors.New("received only interim answers and answers to other requests")
 }
 
-func readBody(method string, raw *http.Response) ([]byte, error) {
-	defer raw.Body.Close()
+// readBody reads the whole body of an answer. Its memory grows as bytes arrive, whatever
+// length the header claims.
+func (p *Pool) readBody(c *conn, method string, raw *http.Response) (body []byte, err error) {
+	var reserved int64
+	defer func() {
+		p.bodyBytes.Add(-reserved)
+		if err != nil {
+			// Close would read the rest of the body.
+			c.bound.left = 0
+		}
+		_ = raw.Body.Close()
+	}()
 	if method == http.MethodHead {
 		return nil, nil
 	}
 	if raw.ContentLength > maxBody {
-		return nil, errors.Newf("Content-Length %d is more than %d bytes", raw.ContentLength, maxBody)
+		return nil, errors.Wrapf(errTooLong, "Content-Length %d is more than %d bytes", raw.ContentLength, maxBody)
 	}
-	if raw.ContentLength >= 0 {
-		body := make([]byte, raw.ContentLength)
-		_, err := io.ReadFull(raw.Body, body)
+	if raw.ContentLength >= 0 && raw.ContentLength <= initialBody {
+		body = make([]byte, raw.ContentLength)
+		_, err = io.ReadFull(raw.Body, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(raw.Body, maxBody+1))
-	if err == nil && len(body) > maxBody {
-		err = errors.Newf("body has more than %d bytes", maxBody)
+	body = make([]byte, 0, initialBody)
+	for {
+		if len(body) == cap(body) {
+			size := min(2*cap(body), maxBody+1)
+			if len(body) > maxBody {
+				return nil, errors.Wrapf(errTooLong, "body has more than %d bytes", maxBody)
+			}
+			reserved += int64(size)
+			if p.bodyBytes.Add(int64(size)) > p.bodyMemory {
+				return nil, errors.Wrapf(errTooLong, "unfinished bodies need more than %d bytes", p.bodyMemory)
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := raw.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
 	}
-	return body, err
 }
 
 // idleTimeoutOf returns how long a connection may stay idle after an answer with this
@@ -361,7 +434,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize)}
+	bound := &boundedReader{conn: raw}
+	c := &conn{Conn: raw, bound: bound, reader: bufio.NewReaderSize(bound, bufferSize)}
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		if c.raw, err = tcp.SyscallConn(); err != nil {
 			_ = raw.Close()
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -191,6 +191,60 @@
 	})
 }
 
+// Guards against a head or a body without end, which would be read until the deadline and
+// fill the memory.
+func TestEndlessAnswers(t *testing.T) {
+	const limit, deadline = time.Second, 5 * time.Second
+	const head = "HTTP/1.1 200 OK\r\nId: x\r\n"
+	for name, answer := range map[string]struct{ first, again string }{
+		"no answer":             {"", "\x00\x01\x02 nothing of use "},
+		"a status line":         {"HTTP/1.1 200 ", "OK "},
+		"a header field":        {head + "A: ", "aaaaaaaa"},
+		"header fields":         {head, "A: aaaaaaaa\r\n"},
+		"interim answers":       {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"a body without length": {head + "\r\n", "aaaaaaaa"},
+		"a long body":           {head + "Content-Length: 60000000\r\n\r\n", "aaaaaaaa"},
+		"chunks":                {head + "Transfer-Encoding: chunked\r\n\r\n", "8\r\naaaaaaaa\r\n"},
+		"trailers":              {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: aaaaaaaa\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+				if readRequest(r) == "" {
+					return
+				}
+				_, err := io.WriteString(c, answer.first)
+				for block := strings.Repeat(answer.again, 1000); err == nil; {
+					_, err = io.WriteString(c, block)
+				}
+			})
+			p := http1.New(http1.WithBodyMemory(1 << 20))
+			t.Cleanup(p.Close)
+			ctx, cancel := context.WithTimeout(context.Background(), deadline)
+			defer cancel()
+			started := time.Now()
+			_, err := p.Do(ctx, addr, request("x"))
+			assertSent(t, err, true)
+			if took := time.Since(started); took > limit {
+				t.Fatalf("failed after %s, want within %s: %v", took, limit, err)
+			}
+		})
+	}
+	t.Run("a long answer within the bound is whole", func(t *testing.T) {
+		want := strings.Repeat("a", 300<<10)
+		addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+			for id := readRequest(r); id != ""; id = readRequest(r) {
+				writeAnswer(c, id, want)
+			}
+		})
+		p := http1.New(http1.WithBodyMemory(1 << 20))
+		t.Cleanup(p.Close)
+		for range 5 {
+			a, err := do(t, p, addr, request("x"))
+			assertBody(t, a, err, want)
+		}
+	})
+}
+
 // TestNeverTwice checks that a request is not retried if the reused connection breaks
 // after the request was sent.
 func TestNeverTwice(t *testing.T) {
