--- a/internal/mesh/announcements_test.go
+++ b/internal/mesh/announcements_test.go
@@ -35,9 +35,9 @@
 	syncVersion int
 }
 
-// addFake starts a fake node and introduces it to all nodes. It returns once they know
+// addFake starts a fake node of zone a and introduces it to all nodes. It returns once they know
 // it.
-func (f *fleet) addFake(zone, name string) *fakeNode {
+func (f *fleet) addFake(name string) *fakeNode {
 	f.t.Helper()
 	n := &fakeNode{syncVersion: 1}
 	var mux peer.Mux
@@ -67,7 +67,7 @@
 	f.t.Cleanup(func() { _ = endpoint.Close() })
 	n.endpoint = endpoint
 	n.entry = messages.Entry{
-		Node: name, Epoch: 1, Zone: zone, Service: "bookings", Call: freeAddr(f.t), Peer: endpoint.Addr(),
+		Node: name, Epoch: 1, Zone: "a", Service: "bookings", Call: freeAddr(f.t), Peer: endpoint.Addr(),
 		State: messages.EntryStateWaiting,
 	}
 	for _, m := range f.nodes {
@@ -98,18 +98,18 @@
 	return count
 }
 
-// fakeNames returns two names of nodes that watch the store for a zone in place of the
-// given node, and one of a node that does not when the other two nodes are real.
-func fakeNames(zone string, nodes ...string) (watching [2]string, idle string) {
+// fakeNames returns two names of nodes that watch the store for zone a in place of the given
+// nodes, and one of a node that does not watch beside them.
+func fakeNames(nodes ...string) (watching [2]string, idle string) {
 	found := 0
 	for i := 0; found < len(watching) || idle == ""; i++ {
 		name := fmt.Sprintf("fake-%d", i)
-		top := rendezvous.Top("watch/"+zone, append(slices.Clone(nodes), name), 1)
+		top := rendezvous.Top("watch/a", append(slices.Clone(nodes), name), 1)
 		switch {
 		case top[0] == name && found < len(watching):
 			watching[found] = name
 			found++
-		case idle == "" && !slices.Contains(rendezvous.Top("watch/"+zone, append(slices.Clone(nodes), name), len(nodes)), name):
+		case idle == "" && !slices.Contains(rendezvous.Top("watch/a", append(slices.Clone(nodes), name), len(nodes)), name):
 			idle = name
 		}
 	}
@@ -130,9 +130,9 @@
 	m := f.add("a", "availability", 4)
 	m.sendHeartbeat(t, "ready")
 	f.waitServed(m, "/stock/1")
-	watching, _ := fakeNames("a", m.cfg.Node)
-	teller := f.addFake("a", watching[0])
-	f.addFake("a", watching[1])
+	watching, _ := fakeNames(m.cfg.Node)
+	teller := f.addFake(watching[0])
+	f.addFake(watching[1])
 	f.eventually("the node does not watch", func() bool { return !m.node.IsWatching() })
 	f.moveStock(2, "/second/")
 	f.send(teller, m, "rosterNews", messages.News{Node: teller.entry.Node, Version: 2})
@@ -170,8 +170,8 @@
 		names = append(names, m.cfg.Node)
 		f.eventually("both nodes are known", func() bool { return m.node.NodeCount() == len(f.nodes) })
 	}
-	_, idle := fakeNames("a", names...)
-	busy := f.addFake("a", idle)
+	_, idle := fakeNames(names...)
+	busy := f.addFake(idle)
 	for _, m := range f.nodes {
 		f.eventually("the node watches", m.node.IsWatching)
 	}
@@ -228,8 +228,8 @@
 	m := f.add("a", "availability", 4)
 	m.sendHeartbeat(t, "ready")
 	f.waitServed(m, "/stock/1")
-	watching, _ := fakeNames("a", m.cfg.Node)
-	first, second := f.addFake("a", watching[0]), f.addFake("a", watching[1])
+	watching, _ := fakeNames(m.cfg.Node)
+	first, second := f.addFake(watching[0]), f.addFake(watching[1])
 	f.eventually("the node does not watch", func() bool { return !m.node.IsWatching() })
 	f.moveStock(2, "/moved/")
 	f.eventually("the watching nodes are told", func() bool { return first.announced(2) > 0 && second.announced(2) > 0 })
--- a/internal/mesh/local/refusal_test.go
+++ b/internal/mesh/local/refusal_test.go
@@ -11,47 +11,30 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"lavenderdeal/core/heartbeats"
 	"lavenderdeal/internal/crashes"
 	"lavenderdeal/internal/jsonlog"
 	"lavenderdeal/internal/mesh/local"
+	"lavenderdeal/internal/standin/testserver"
 	"lavenderdeal/io/hop"
 	"lavenderdeal/io/http1"
 )
 
-// startScript starts a server that serves one connection. It answers the n-th request,
-// with its id, by what answer returns.
+// startScript starts a server that answers the n-th request of a connection, with its id,
+// by what answer returns.
 func startScript(t *testing.T, answer func(n int, id string) string) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group errgroup.Group
-	t.Cleanup(func() { _ = l.Close(); _ = group.Wait() })
-	group.Go(func() error {
-		for {
-			c, err := l.Accept()
+	return testserver.Accept(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for n := 1; ; n++ {
+			r, err := http.ReadRequest(reader)
 			if err != nil {
-				return nil
+				return
+			}
+			if _, err := io.WriteString(c, answer(n, r.Header.Get("Request-Id"))); err != nil {
+				return
 			}
-			group.Go(func() error {
-				defer c.Close()
-				reader := bufio.NewReader(c)
-				for n := 1; ; n++ {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return nil
-					}
-					if _, err := io.WriteString(c, answer(n, r.Header.Get("Request-Id"))); err != nil {
-						return nil
-					}
-				}
-			})
 		}
 	})
-	return netip.MustParseAddrPort(l.Addr().String())
 }
 
 func refusal(id string) string {
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -358,6 +358,7 @@
 // readBody reads the whole body of an answer. Its memory grows as bytes arrive, whatever
 // length the header claims.
 func (p *Pool) readBody(c *conn, method string, raw *http.Response) (body []byte, err error) {
+	defer raw.Body.Close()
 	var reserved int64
 	defer func() {
 		p.bodyBytes.Add(-reserved)
@@ -365,7 +366,6 @@
 			// Close would read the rest of the body.
 			c.bound.left = 0
 		}
-		_ = raw.Body.Close()
 	}()
 	if method == http.MethodHead {
 		return nil, nil
