--- a/internal/mesh/announcements_test.go
+++ b/internal/mesh/announcements_test.go
@@ -236,3 +236,45 @@
 	a, err := f.call(m, http.MethodGet, "/moved/1", "")
 	assertStatus(t, a, err, http.StatusOK)
 }
+
+// Guards against a false announcement that keeps nodes from announcing the versions that
+// exist, or that makes them ask for it again and again.
+func TestFalseAnnouncement(t *testing.T) {
+	f := newFleet(t)
+	for range 5 {
+		f.add("a", "availability", 4).sendHeartbeat(t, "ready")
+	}
+	var names []string
+	for _, m := range f.nodes {
+		names = append(names, m.cfg.Node)
+		f.eventually("all nodes are known", func() bool { return m.node.NodeCount() == len(f.nodes) })
+		f.waitServed(m, "/stock/1")
+	}
+	_, idle := fakeNames(names...)
+	liar := f.addFake(idle)
+	f.eventually("two nodes watch", func() bool {
+		watching := 0
+		for _, m := range f.nodes {
+			if m.node.IsWatching() {
+				watching++
+			}
+		}
+		return watching == 2
+	})
+	f.store.SetCopyLag(time.Minute)
+	for _, m := range f.nodes {
+		f.send(liar, m, "rosterNews", messages.News{Node: liar.entry.Node, Version: 1000})
+	}
+	time.Sleep(3 * time.Second)
+	for version := 2; version < 4; version++ {
+		prefix := fmt.Sprintf("/moved-%d/", version)
+		f.moveStock(version, prefix)
+		written := time.Now()
+		for _, m := range f.nodes {
+			f.waitServed(m, prefix+"1")
+			if took := time.Since(written); took > applyTime {
+				t.Fatalf("%s applied version %d after %s, want within %s", m.cfg.Node, version, took, applyTime)
+			}
+		}
+	}
+}
--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -64,6 +64,9 @@
 	// newsRetryDelay is the pause between them.
 	newsAttempts   = 3
 	newsRetryDelay = 100 * time.Millisecond
+	// relayMemory is how long announcements of versions as high as the last one are not
+	// passed on. Those of one version arrive within a second or two.
+	relayMemory = 2 * time.Second
 	// A node is forgotten after minForgetTime without an answer and at least
 	// minForgetMisses failures in a row. The time is longer than a partition usually
 	// lasts. A node that is still running introduces itself again.
@@ -118,9 +121,12 @@
 	// listCount counts the listings of nodes in the store.
 	listCount int
 	// wantedVersion is the highest configuration version that another node has
-	// announced, and announcedVersion the highest that this node has announced.
-	wantedVersion    int
-	announcedVersion int
+	// announced and that was not looked for in vain.
+	wantedVersion int
+	// relayedVersion is the version of the announcement that was last passed on, at
+	// relayedAt.
+	relayedVersion int
+	relayedAt      time.Time
 	// differingSyncs counts the consecutive comparisons that found a difference.
 	differingSyncs int
 	onEarlierEntry func(messages.Entry)
--- a/internal/mesh/members/sync.go
+++ b/internal/mesh/members/sync.go
@@ -122,7 +122,8 @@
 // it. Only one call at a time fetches: when all nodes answer a broadcast with a
 // higher version, a document from each of them would saturate the link for seconds.
 // The others rely on that call, so it ends only with the version, after fetchAttempts or
-// with the node.
+// with the node. A version that was not found is not wanted any more, since it may not
+// exist.
 func (m *Members) fetchIfNewer(e messages.Entry, version int) {
 	if uint64(max(version, 0)) <= m.versions.Version() {
 		return
@@ -140,6 +141,9 @@
 		m.fetch(m.ctx, e, wantedVersion)
 		m.fetching.Store(false)
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wantedVersion = int(m.versions.Version())
 }
 
 // fetch waits until the watch or a read of the store should have returned the version,
--- a/internal/mesh/members/watching.go
+++ b/internal/mesh/members/watching.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/apex/log"
 
@@ -21,7 +22,7 @@
 	case versions.Applied:
 		switch {
 		case m.versions.IsWatching():
-			m.announce(m.Own().Node, int(e.Version))
+			m.announceApplied(int(e.Version))
 		case e.WasMissed:
 			m.tellWatchers(int(e.Version))
 		}
@@ -68,22 +69,38 @@
 	return slices.Contains(watchers, e.Node)
 }
 
-// announce sends the number of a version, which the given node has applied, to the nodes
-// of the zone that don't watch the store, and to the watching nodes of the other zones,
-// which may have lost the store. It does nothing if a version as high was announced
-// before.
-func (m *Members) announce(node string, version int) {
+// announceApplied announces a version that this node has applied, unless it has passed on
+// an announcement of the same version.
+func (m *Members) announceApplied(version int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if version <= m.announcedVersion {
+	if version != m.relayedVersion {
+		m.announceLocked(messages.News{Node: m.roster.Own().Node, Version: version})
+	}
+}
+
+// relay passes an announcement on, unless it has passed on one of a version as high a
+// moment ago. Announcements of versions that do not exist suppress others only for
+// relayMemory.
+func (m *Members) relay(q messages.News) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if q.Version <= m.relayedVersion && now.Sub(m.relayedAt) < relayMemory {
 		return
 	}
-	m.announcedVersion = version
+	m.relayedVersion, m.relayedAt = q.Version, now
+	m.announceLocked(q)
+}
+
+// announceLocked sends an announcement to the nodes of the zone that don't watch the store,
+// and to the watching nodes of the other zones, which may have lost the store.
+func (m *Members) announceLocked(q messages.News) {
 	byZone := make(map[string][]string)
 	zone := m.roster.Own().Zone
 	for _, e := range m.roster.Others() {
-		if m.isWatcherLocked(e, byZone) != (e.Zone == zone) {
-			m.sendNewsLocked(e, messages.News{Node: node, Version: version})
+		if e.Node != q.Node && m.isWatcherLocked(e, byZone) != (e.Zone == zone) {
+			m.sendNewsLocked(e, q)
 		}
 	}
 }
@@ -102,7 +119,7 @@
 }
 
 // sendNewsLocked sends an announcement to a node in the background. It repeats it if the
-// node does not acknowledge it, unless a higher version was announced in the meantime.
+// node does not acknowledge it, unless this node has applied a higher version meanwhile.
 func (m *Members) sendNewsLocked(to messages.Entry, q messages.News) {
 	if m.stopped || m.endpoint == nil {
 		return
@@ -110,7 +127,7 @@
 	m.group.Go(func() error {
 		for range newsAttempts {
 			err := m.call(to, methodNews, q)
-			if err == nil || m.isOutdated(q.Version) || !wait.For(m.ctx, newsRetryDelay) {
+			if err == nil || uint64(q.Version) < m.versions.Version() || !wait.For(m.ctx, newsRetryDelay) {
 				return nil
 			}
 		}
@@ -118,13 +135,6 @@
 	})
 }
 
-// isOutdated reports whether a higher version than the given one was announced.
-func (m *Members) isOutdated(version int) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.announcedVersion > version
-}
-
 // reportSuspect asks the nodes of the zone to check whether a watching node still
 // answers, so that another one watches in its place if not.
 func (m *Members) reportSuspect(suspect messages.Entry) {
@@ -178,7 +188,8 @@
 func (m *Members) handleNews(q messages.News) {
 	m.mu.Lock()
 	from, ok := m.roster.Get(q.Node)
-	if !ok || m.stopped || uint64(max(q.Version, 0)) <= m.versions.Version() {
+	isOwn := q.Node == m.roster.Own().Node
+	if !ok || isOwn || m.stopped || uint64(max(q.Version, 0)) <= m.versions.Version() {
 		m.mu.Unlock()
 		return
 	}
@@ -188,6 +199,6 @@
 	})
 	m.mu.Unlock()
 	if m.versions.IsWatching() {
-		m.announce(q.Node, q.Version)
+		m.relay(q)
 	}
 }
