--- a/internal/mesh/members/watching.go
+++ b/internal/mesh/members/watching.go
@@ -16,14 +16,15 @@
 
 // Notify handles an event of the version follower. A node that watches the store
 // announces each version. One that does not, but has found a version by itself, tells
-// the watching nodes of its zone, which may have lost the store.
+// the watching nodes of its zone, which may have lost the store. It may have stopped
+// watching a moment ago.
 func (m *Members) Notify(e versions.Event) {
 	switch e := e.(type) {
 	case versions.Applied:
 		switch {
 		case m.versions.IsWatching():
 			m.announceApplied(int(e.Version))
-		case e.WasMissed:
+		case e.IsUnannounced:
 			m.tellWatchers(int(e.Version))
 		}
 	case versions.StoreRecovered:
--- a/internal/mesh/versions/versions.go
+++ b/internal/mesh/versions/versions.go
@@ -66,9 +66,10 @@
 
 // The sources of an applied version, for the log, besides the names of nodes.
 const (
-	sourceStore = "store"
-	sourceCopy  = "look"
-	sourceCheck = "check"
+	sourceStore   = "store"
+	sourceCheck   = "check"
+	sourceCopy    = "look"
+	sourceRefresh = "refresh"
 )
 
 // Follower applies new versions of the configuration. It is safe for concurrent
@@ -110,9 +111,9 @@
 // Applied is sent when a version has been applied.
 type Applied struct {
 	Version uint64
-	// WasMissed is set if a periodic check found the version, so no other node has
-	// announced it yet.
-	WasMissed bool
+	// IsUnannounced is set if the node found the version in the store by itself, not
+	// because another node has announced it.
+	IsUnannounced bool
 }
 
 // StoreRecovered is sent when the store answers again after an outage.
@@ -231,7 +232,7 @@
 			"version": t.Version(), "before": before, "source": source, "routes": t.Len(),
 			"revision": c.ContentRevision, "storeRevision": c.Revision,
 		})
-		f.emit(Applied{Version: t.Version(), WasMissed: source == sourceCheck})
+		f.emit(Applied{Version: t.Version(), IsUnannounced: source == sourceStore || source == sourceCheck})
 	}
 }
 
@@ -366,7 +367,7 @@
 		f.log.WriteLimited("lookFailed", log.Fields{"error": err, "inForce": f.Version()})
 		return
 	}
-	f.apply(c, sourceStore)
+	f.apply(c, sourceRefresh)
 }
 
 // ReadChanges reads the changes since the last read from the store itself. There are
