--- a/internal/mesh/members/watching.go
+++ b/internal/mesh/members/watching.go
@@ -100,7 +100,8 @@
 	byZone := make(map[string][]string)
 	zone := m.roster.Own().Zone
 	for _, e := range m.roster.Others() {
-		if e.Node != q.Node && m.isWatcherLocked(e, byZone) != (e.Zone == zone) {
+		isOwnZone, watches := e.Zone == zone, m.isWatcherLocked(e, byZone)
+		if e.Node != q.Node && (isOwnZone && !watches || !isOwnZone && watches) {
 			m.sendNewsLocked(e, q)
 		}
 	}
