--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -52,6 +52,8 @@
 	// recoveryLimit is the platform's limit on the time until all nodes serve again after
 	// the last fault.
 	recoveryLimit = 15 * time.Second
+	// copyLag is how far the store's copies are behind. The platform allows seconds.
+	copyLag = 3 * time.Second
 	// finalResponseWait leaves time for the responses to the callers' last requests.
 	finalResponseWait = 2 * time.Second
 )
@@ -61,7 +63,8 @@
 	// Binary is the path of the lavenderdeald executable.
 	Binary string
 	// Seed selects the faults, the requests and the versions. If it is a multiple of three,
-	// all faults are planned work.
+	// all faults are planned work. If it is odd, the store's copies are behind all the
+	// time.
 	Seed uint64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
@@ -83,6 +86,9 @@
 	if err := waitServing(f, calls, startupLimit); err != nil {
 		return []string{"the fleet did not start: " + err.Error()}
 	}
+	if cfg.Seed%2 == 1 {
+		f.store.SetCopyLag(copyLag)
+	}
 	random := rand.New(rand.NewPCG(cfg.Seed, 0))
 	inject := &injector{fleet: f, faultLog: faults, random: random}
 	ctx, cancel := context.WithTimeout(t.Context(), cfg.FaultDuration)
