--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -150,7 +150,7 @@
 		schedules.Go(func() error {
 			for due := range arrivals(ctx, start, plan.Duration, class.Rate, random) {
 				target := random.IntN(len(plan.Targets))
-				id := callID(plan.Seed, random.Uint64())
+				id := callID()
 				limit <- struct{}{}
 				calls.Go(func() error {
 					defer func() { <-limit }()
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -158,12 +159,12 @@
 func (c Call) Answered() bool { return c.Attempts[len(c.Attempts)-1].ok() }
 
 // callID returns a UUID of version 7 whose timestamp is the current time, which is that
-// of the call's first attempt. Its remaining bits are from the seed and the random
-// number.
-func callID(seed, random uint64) string {
-	millis := uint64(time.Now().UnixMilli())
+// of the call's first attempt. The other bits are random and do not depend on a seed, so
+// that two runs at once with the same seed have no ID in common.
+func callID() string {
+	millis, random := uint64(time.Now().UnixMilli()), rand.Uint64()
 	return fmt.Sprintf("%08x-%04x-7%03x-%04x-%012x",
-		millis>>16, millis&0xffff, random&0xfff, 0x8000|(seed&0x3fff), random>>16)
+		millis>>16, millis&0xffff, random&0xfff, 0x8000|(rand.Uint64()&0x3fff), random>>16)
 }
 
 // SendAttempt makes one attempt of a call of a class at an address, without retries.
@@ -182,11 +183,11 @@
 	defer cancel()
 	var answered atomic.Int64
 	var group errgroup.Group
-	for w := range workers {
+	for range workers {
 		group.Go(func() error {
 			s := sender{client: client, class: class}
-			for n := uint64(0); ctx.Err() == nil; n++ {
-				if s.attempt(ctx, callID(uint64(w), n), to).ok() {
+			for ctx.Err() == nil {
+				if s.attempt(ctx, callID(), to).ok() {
 					answered.Add(1)
 				}
 			}
