--- a/core/refusals/refusals.go
+++ b/core/refusals/refusals.go
@@ -47,10 +47,22 @@
 // Table holds refused attempts. The zero value is ready to use. It is not safe for
 // concurrent use.
 type Table struct {
-	attempts map[uint64][]Attempt
-	// order holds the keys of the recorded attempts, oldest first, including those
-	// already matched.
-	order []uint64
+	attempts map[uint64][]entry
+	// order holds the recorded attempts, oldest first, including those already matched.
+	order []position
+	// added is the number of attempts recorded so far.
+	added uint64
+}
+
+// entry is an attempt with its number in the order of recording.
+type entry struct {
+	Attempt
+	number uint64
+}
+
+// position identifies a recorded attempt.
+type position struct {
+	key, number uint64
 }
 
 // Add records an attempt that was refused without having run. It ignores an attempt
@@ -60,13 +72,14 @@
 		return
 	}
 	if t.attempts == nil {
-		t.attempts = make(map[uint64][]Attempt)
+		t.attempts = make(map[uint64][]entry)
 	}
 	if len(t.order) == maxAttempts {
 		t.dropOldest()
 	}
-	t.order = append(t.order, a.Key)
-	t.attempts[a.Key] = append(t.attempts[a.Key], a)
+	t.added++
+	t.order = append(t.order, position{key: a.Key, number: t.added})
+	t.attempts[a.Key] = append(t.attempts[a.Key], entry{Attempt: a, number: t.added})
 }
 
 // Match removes and returns the refused attempt with the same key and the closest
@@ -83,7 +96,7 @@
 	if closest < 0 {
 		return Attempt{}, false
 	}
-	a := list[closest]
+	a := list[closest].Attempt
 	t.set(key, append(list[:closest], list[closest+1:]...))
 	return a, true
 }
@@ -97,19 +110,18 @@
 	return n
 }
 
-// dropOldest removes the oldest key in order and the oldest attempt that is left with
-// this key. That is a newer attempt if the one that was recorded with the key has been
-// matched already.
+// dropOldest removes the oldest recorded attempt, if it has not been matched.
 func (t *Table) dropOldest() {
-	key := t.order[0]
+	oldest := t.order[0]
 	t.order = append(t.order[:0], t.order[1:]...)
-	if list := t.attempts[key]; len(list) > 0 {
-		t.set(key, list[1:])
+	// The attempts of a key are in the order of recording.
+	if list := t.attempts[oldest.key]; len(list) > 0 && list[0].number == oldest.number {
+		t.set(oldest.key, list[1:])
 	}
 }
 
 // set replaces the attempts of a key.
-func (t *Table) set(key uint64, list []Attempt) {
+func (t *Table) set(key uint64, list []entry) {
 	if len(list) == 0 {
 		delete(t.attempts, key)
 		return
--- a/core/refusals/refusals_test.go
+++ b/core/refusals/refusals_test.go
@@ -42,6 +42,15 @@
 	})
 	t.Run("another request", func(t *testing.T) { assertMatch(t, refused(), 2, time.Second, false) })
 	t.Run("a new caller of the same", func(t *testing.T) { assertMatch(t, refused(), 1, 1100*time.Millisecond, false) })
+	t.Run("a newer attempt outlives the place of a matched one", func(t *testing.T) {
+		table := refused()
+		assertMatch(t, table, 1, time.Second, true)
+		table.Add(epoch, refusals.Attempt{Key: 1, Deadline: epoch.Add(2 * time.Second)})
+		for i := range 1023 {
+			table.Add(epoch, refusals.Attempt{Key: uint64(i + 2), Deadline: epoch.Add(time.Second)})
+		}
+		assertMatch(t, table, 1, 2*time.Second, true)
+	})
 	t.Run("it keeps a bounded number", func(t *testing.T) {
 		var table refusals.Table
 		for i := range 5000 {
