store, operator: report an answer above the bound as an error

Change: one byte more is read, and a longer answer is an error that names the bound. Result: read in the code; the tests of the packages pass, none has an answer of that length.

--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -90,7 +90,10 @@
 		return value, errors.Wrapf(err, "node %s", c.base.Host)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errors.Newf("the answer to %s has more than %d bytes", path, maxAnswerBytes)
+	}
 	if err != nil {
 		return value, errors.Wrapf(err, "node %s", c.base.Host)
 	}
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -137,7 +137,10 @@
 		return nil, errors.Mark(errors.Wrapf(err, "%s %s", method, path), ErrOutcomeUnknown)
 	}
 	defer answer.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(answer.Body, maxBody))
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxBody+1))
+	if err == nil && len(data) > maxBody {
+		err = errors.Newf("the answer has more than %d bytes", maxBody)
+	}
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "%s %s", method, path), ErrOutcomeUnknown)
 	}
