http1: send no head that could be read as another one

Change: a request with such a head is an error, and is not sent. Result: the six cases of TestInvalidHeads fail before and pass now.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -39,6 +39,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
 )
@@ -100,6 +101,33 @@
 	// IsAnswer returns true if an answer with this header belongs to the request. Nil
 	// accepts the first answer.
 	IsAnswer func(http.Header) bool
+	// Received is set when the first bytes arrive after the request was sent, other than
+	// 100 Continue with ExpectContinue. It may be nil.
+	Received *atomic.Bool
+}
+
+// validate returns an error if the head would be parsed differently than it was meant,
+// for example as two requests.
+func (r *Request) validate() error {
+	if !httpguts.ValidHeaderFieldName(r.Method) {
+		return errors.Newf("method %q is not a token", r.Method)
+	}
+	for _, text := range [...]string{r.URI, r.Host} {
+		if strings.ContainsFunc(text, func(c rune) bool { return c <= ' ' || c == 0x7f }) {
+			return errors.Newf("URI or host %q has spaces or control characters", text)
+		}
+	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("header name %q is not a token", name)
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return errors.Newf("header %s: value %q has control characters", name, v)
+			}
+		}
+	}
+	return nil
 }
 
 // Response is an answer with its whole body.
@@ -227,6 +255,9 @@
 // [*Error]. If ctx ends, the connection is closed, so that the server can cancel the
 // request.
 func (p *Pool) Do(ctx context.Context, to netip.AddrPort, r *Request) (*Response, error) {
+	if err := r.validate(); err != nil {
+		return nil, &Error{cause: err}
+	}
 	c, err := p.get(ctx, to, r)
 	if err != nil {
 		return nil, &Error{cause: errors.Wrap(err, "connect")}
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -341,6 +341,36 @@
 	}
 }
 
+// TestInvalidHeads checks that a request is not sent if its head could be read as another
+// one, for example as two requests.
+func TestInvalidHeads(t *testing.T) {
+	for name, change := range map[string]func(*http1.Request){
+		"method":       func(r *http1.Request) { r.Method = "GET /x HTTP/1.1\r\nX:" },
+		"URI":          func(r *http1.Request) { r.URI = "/ HTTP/1.1\r\nX: y" },
+		"host":         func(r *http1.Request) { r.Host = "depot\r\nX: y" },
+		"header name":  func(r *http1.Request) { r.Header["X: y\r\nZ"] = []string{"z"} },
+		"header value": func(r *http1.Request) { r.Header["X"] = []string{"y\r\n\r\nGET / HTTP/1.1"} },
+		"null byte":    func(r *http1.Request) { r.Header["X"] = []string{"y\x00"} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+				for id := readRequest(r); id != ""; id = readRequest(r) {
+					runs.Add(1)
+					writeAnswer(c, id, id)
+				}
+			})
+			r := request("x")
+			change(r)
+			_, err := do(t, newPool(t), addr, r)
+			assertSent(t, err, false)
+			if n := runs.Load(); n != 0 {
+				t.Fatalf("the server got %d requests, want none", n)
+			}
+		})
+	}
+}
+
 func TestFailures(t *testing.T) {
 	t.Run("connection refused", func(t *testing.T) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
