--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -191,6 +191,53 @@
 	})
 }
 
+// TestCutOffAnswers cuts off each of several answers after each of its bytes, as a server
+// does that stops while it writes, by a regular close and by a reset. None must be taken for
+// a whole answer, unless it has no length, its head is complete and the connection was closed
+// regularly.
+func TestCutOffAnswers(t *testing.T) {
+	const unframed = "no length"
+	for name, answer := range map[string]string{
+		"length":          "HTTP/1.1 200 OK\r\nId: x\r\nResponse-Signature: s\r\nContent-Length: 12\r\n\r\nwhole answer",
+		"length first":    "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nId: x\r\nX: \r\n\r\nwhole answer",
+		"chunks":          "HTTP/1.1 200 OK\r\nId: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n7\r\n answer\r\n0\r\n\r\n",
+		"trailer":         "HTTP/1.1 200 OK\r\nId: x\r\nTransfer-Encoding: chunked\r\n\r\nc\r\nwhole answer\r\n0\r\nX: y\r\n\r\n",
+		"interim":         "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 12\r\n\r\nwhole answer",
+		"close":           "HTTP/1.1 200 OK\r\nId: x\r\nConnection: close\r\nContent-Length: 12\r\n\r\nwhole answer",
+		"bare line feeds": "HTTP/1.1 200 OK\nId: x\nContent-Length: 12\n\nwhole answer",
+		unframed:          "HTTP/1.1 200 OK\r\nId: x\r\nConnection: close\r\n\r\nwhole answer",
+		"other protocol":  "HTTP/1.0 200 OK\r\nId: x\r\nContent-Length: 12\r\n\r\nwhole answer",
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %v", name, reset), func(t *testing.T) {
+				var end atomic.Int64
+				addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+					readRequest(r)
+					_, _ = io.WriteString(c, answer[:end.Load()])
+					if reset {
+						// The client reads what was sent before the reset arrives.
+						time.Sleep(2 * time.Millisecond)
+						_ = c.(*net.TCPConn).SetLinger(0)
+					}
+				})
+				p := newPool(t)
+				for n := range len(answer) {
+					end.Store(int64(n))
+					a, err := do(t, p, addr, request("x"))
+					if isHead := strings.Contains(answer[:n], "\r\n\r\n"); name == unframed && isHead && !reset {
+						assertBody(t, a, err, answer[strings.Index(answer, "\r\n\r\n")+4:n])
+						continue
+					}
+					if err == nil {
+						t.Fatalf("%q was taken for a whole answer with the body %q", answer[:n], a.Body)
+					}
+					assertSent(t, err, true)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a head or a body without end, which would be read until the deadline and
 // fill the memory.
 func TestEndlessAnswers(t *testing.T) {
