--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -165,7 +165,7 @@
 	"serverFull":          "the server itself refused the request because it was full: not run",
 	"serverBroke":         "the connection to the server broke after the request was sent: it may have run",
 	"nodeUnanswered":      "the server's node did not answer: it may have run unless nothing was sent",
-	"answerSpoilt":        "the server's answer was invalid: it has run",
+	"answerSpoilt":        "the server's answer was invalid: it may have run",
 	"refusalWithoutProof": "the server refused without confirming that it did not run the request: it may have run",
 	"deadlinePassed":      "the deadline of the request passed",
 	"waitedTooLong":       "the request waited too long for a slot: refused, not run",
