proxy: ask for a request whose answer does not come

Cause: a kept connection between two nodes can go silent for good. A probe over a new connection finds the node alive, so the request waited until its deadline; one that is not idempotent could not go elsewhere. Change: the server's node answers questions about a request by its id (core/withdrawal). A request that has not arrived is withdrawn and goes elsewhere; the answer of one that has ended is fetched. Idle connections to a node with a silent one, or to one that is stopping, are closed. Result: TestSilentConnections and TestStoppingNodeHasNoIdleConnections; the cases of the first fail before.

--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -63,6 +63,8 @@
 	// RuleUnprovenRefusal means that the status of the answer implies that the
 	// request did not run, but the server has not confirmed it.
 	RuleUnprovenRefusal = "refusalWithoutProof"
+	// RuleWithdrawn means that the node that forwarded the request has taken it back.
+	RuleWithdrawn = "withdrawn"
 	// RuleQuarantined means that requests like this one have crashed servers.
 	RuleQuarantined = crashes.RuleQuarantined
 )
@@ -97,7 +99,7 @@
 }
 
 // Server runs requests on the backend server. It is safe for concurrent use. Lock
-// order: mu is the only lock.
+// order: mu is taken before the locks of a start function.
 type Server struct {
 	pool     *http1.Pool
 	log      *jsonlog.Log
@@ -115,6 +117,8 @@
 	// down is set when the server has refused a connection since its last accepted
 	// heartbeat.
 	down bool
+	// refusing is set by RefuseWaiting.
+	refusing bool
 	// rateLimit is the number of requests a second that the server takes by its last
 	// answer, or 0 without a limit.
 	rateLimit float64
@@ -218,8 +222,20 @@
 	return State{Instance: m.ID, Started: m.Started, Slots: m.Slots, Ready: known && !m.Leaving && !s.down, Leaving: known && m.Leaving}
 }
 
+// RefuseWaiting refuses the requests that wait for a slot and all later ones. Those that
+// run on the server go on.
+func (s *Server) RefuseWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = true
+	s.queue.Update(func(g *gate.Gate) { g.Close() })
+}
+
 // applyLocked opens or closes the gate according to the state of the server.
 func (s *Server) applyLocked(now time.Time) {
+	if s.refusing {
+		return
+	}
 	s.queue.Update(func(g *gate.Gate) { s.beats.Apply(now.Add(leaveMargin), g) })
 }
 
@@ -256,9 +272,24 @@
 	return result
 }
 
+// RunOption changes how a request is run.
+type RunOption func(*runOptions)
+
+type runOptions struct {
+	start func() bool
+}
+
+// WithStart calls fn just before the request is sent to the server. If fn returns false,
+// the request is refused as withdrawn.
+func WithStart(fn func() bool) RunOption { return func(o *runOptions) { o.start = fn } }
+
 // Run waits for a slot and runs a request on the server. The response is nil unless
 // the verdict is [hop.Ran].
-func (s *Server) Run(ctx context.Context, c hop.Call, r *http1.Request) (hop.Result, *http1.Response) {
+func (s *Server) Run(ctx context.Context, c hop.Call, r *http1.Request, opts ...RunOption) (hop.Result, *http1.Response) {
+	o := runOptions{start: func() bool { return true }}
+	for _, opt := range opts {
+		opt(&o)
+	}
 	started := time.Now()
 	deadline := started.Add(c.TimeLeft)
 	monitored := monitoredCall(r)
@@ -273,7 +304,7 @@
 	}
 	waited := time.Since(started)
 	s.monitor.Begin(id, monitored)
-	result, answer := s.exchange(ctx, c, r, instance, deadline)
+	result, answer := s.exchange(ctx, c, r, instance, deadline, o.start)
 	switch {
 	case result.Rule == RuleConnectionBroken:
 		s.monitor.ConnectionBroken(id)
@@ -334,7 +365,7 @@
 
 // exchange sends the request to the server and determines from the answer whether the
 // request ran.
-func (s *Server) exchange(ctx context.Context, c hop.Call, r *http1.Request, instance string, deadline time.Time) (hop.Result, *http1.Response) {
+func (s *Server) exchange(ctx context.Context, c hop.Call, r *http1.Request, instance string, deadline time.Time, start func() bool) (hop.Result, *http1.Response) {
 	if ctx.Err() != nil {
 		return *notRun(RuleCallerLeft, 0), nil
 	}
@@ -357,6 +388,10 @@
 		s.mu.Unlock()
 		return *notRun(gate.RuleClosed, 0), nil
 	}
+	if !start() {
+		s.mu.Unlock()
+		return *notRun(RuleWithdrawn, 0), nil
+	}
 	s.parents[id] = Parent{Rank: c.Rank, Target: time.Now().Add(c.Target), Deadline: deadline}
 	s.mu.Unlock()
 	answer, err := s.pool.Do(ctx, m.Address, &sent)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -317,7 +317,7 @@
 	end := started.Add(n.cfg.Grace.Std() - graceMargin)
 	n.mu.Unlock()
 	n.stopping.Store(true)
-	n.proxy.Drain()
+	n.proxy.Drain(end)
 	n.log.WriteLimited("stopping", log.Fields{"inFlight": n.proxy.InFlight()})
 	n.serverChanged(n.local.State())
 	ctx := context.Background()
--- a/internal/mesh/probe/probe.go
+++ b/internal/mesh/probe/probe.go
@@ -23,8 +23,10 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"lavenderdeal/core/withdrawal"
 	"lavenderdeal/internal/jsonlog"
 	"lavenderdeal/internal/wait"
+	"lavenderdeal/io/hop"
 	"lavenderdeal/io/http1"
 	messages "lavenderdeal/schema/roster"
 )
@@ -111,6 +113,25 @@
 	}
 }
 
+// Ask asks a node for the state of a request that was forwarded to it. It returns false if
+// the node does not answer. The response holds the answer to the request if the node sends
+// it once more, and is nil otherwise. A node of an earlier version knows no state.
+func (p *Prober) Ask(ctx context.Context, e messages.Entry, q hop.Question) (withdrawal.State, *http1.Response, bool) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	r := &http1.Request{Method: http.MethodGet, URI: Path, Host: e.Node, Header: http.Header{}, NewConnection: true}
+	hop.WriteQuestion(r.Header, q)
+	answer, err := p.pool.Do(ctx, e.Call, r)
+	if err != nil {
+		return withdrawal.Unknown, nil, false
+	}
+	state, _ := hop.ReadState(answer.Header)
+	if !hop.IsResult(answer.Header) {
+		return state, nil, answer.Status == http.StatusNoContent
+	}
+	return state, answer, true
+}
+
 // Watch probes a node in the background until it answers, and then calls onAnswer. It
 // gives up after maxWatchTime without a call of onAnswer. It does nothing if the node is
 // already watched.
--- a/internal/mesh/proxy/inbound.go
+++ b/internal/mesh/proxy/inbound.go
@@ -11,6 +11,9 @@
 	"lavenderdeal/core/gate"
 	"lavenderdeal/core/pick"
 	"lavenderdeal/core/retryafter"
+	"lavenderdeal/core/withdrawal"
+	"lavenderdeal/internal/mesh/local"
+	"lavenderdeal/internal/mesh/pending"
 	"lavenderdeal/internal/mesh/probe"
 	"lavenderdeal/io/hop"
 	"lavenderdeal/io/http1"
@@ -24,6 +27,10 @@
 // serveForwarded answers a probe, or runs a forwarded request on the local server.
 func (p *Proxy) serveForwarded(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == probe.Path && !hop.IsCall(r.Header) {
+		if hop.IsQuestion(r.Header) {
+			p.serveQuestion(w, r)
+			return
+		}
 		status := http.StatusNoContent
 		if p.refusingNew.Load() {
 			status = http.StatusServiceUnavailable
@@ -49,6 +56,12 @@
 		return
 	}
 	arrived := time.Now()
+	call, ok := p.pending.Arrive(r.Context(), platform.ReadRequest(r.Header).ID, c.TimeLeft)
+	if !ok {
+		p.writeHopRefusal(w, r, c, hop.Result{Verdict: hop.NotRun, Rule: local.RuleWithdrawn})
+		return
+	}
+	defer call.End()
 	done, refused := p.admitLongBody(r, c)
 	if refused != nil {
 		p.writeHopRefusal(w, r, c, *refused)
@@ -62,10 +75,17 @@
 	}
 	elapsed := time.Since(arrived)
 	c.TimeLeft, c.Target = c.TimeLeft-elapsed, c.Target-elapsed
-	result, answer := p.local.Run(r.Context(), c, &http1.Request{
+	result, answer := p.local.Run(call.Context(), c, &http1.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: forwardedHeader(r.Header), Body: body,
-	})
+	}, local.WithStart(call.Start))
 	p.logHop(r, c, result)
+	call.Keep(pending.Answer{Result: result, Response: answer})
+	p.writeHopAnswer(w, platform.ReadRequest(r.Header).ID, result, answer)
+}
+
+// writeHopAnswer writes the result of a forwarded request and the server's answer, which
+// is nil if there is none.
+func (p *Proxy) writeHopAnswer(w http.ResponseWriter, id string, result hop.Result, answer *http1.Response) {
 	h := w.Header()
 	status := http.StatusOK
 	var content []byte
@@ -81,8 +101,31 @@
 	h["Content-Length"] = []string{strconv.Itoa(len(content))}
 	w.WriteHeader(status)
 	if _, err := w.Write(content); err != nil && p.log.Allow("hopNotTaken") {
-		p.log.Write("hopNotTaken", log.Fields{"request": platform.ReadRequest(r.Header).ID, "error": err})
+		p.log.Write("hopNotTaken", log.Fields{"request": id, "error": err})
+	}
+}
+
+// serveQuestion answers a question about a forwarded request. A question for another
+// process of this node gets no promise.
+func (p *Proxy) serveQuestion(w http.ResponseWriter, r *http.Request) {
+	q, err := hop.ReadQuestion(r.Header)
+	if err != nil {
+		p.log.WriteLimited("hopMalformed", log.Fields{"error": err, "from": r.RemoteAddr})
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	state := withdrawal.Unknown
+	var kept *pending.Answer
+	if q.Epoch == p.members.Own().Epoch {
+		state, kept = p.pending.Ask(q)
+	}
+	p.log.WriteLimited("questionAnswered", log.Fields{"request": q.ID, "state": state.String(), "withdraw": q.Withdraw, "answer": kept != nil})
+	hop.WriteState(w.Header(), state)
+	if kept == nil {
+		w.WriteHeader(http.StatusNoContent)
+		return
 	}
+	p.writeHopAnswer(w, q.ID, kept.Result, kept.Response)
 }
 
 // writeHopRefusal refuses a forwarded request. The status is 200, since the node that
--- /dev/null
+++ b/internal/mesh/proxy/inquiry.go
@@ -0,0 +1,175 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"lavenderdeal/core/routes"
+	"lavenderdeal/core/withdrawal"
+	"lavenderdeal/internal/mesh/local"
+	"lavenderdeal/internal/mesh/pending"
+	"lavenderdeal/internal/wait"
+	"lavenderdeal/io/hop"
+	messages "lavenderdeal/schema/roster"
+)
+
+// answerTransit is how long the answer of a request that has ended may be on its way
+// before it is fetched over a new connection.
+const answerTransit = 100 * time.Millisecond
+
+// inquiry asks a node over new connections what became of a request that it does not
+// answer for an unusually long time. A kept connection may have gone silent although the
+// node runs.
+//
+//   - A request that has not arrived is withdrawn, and can be sent elsewhere like one that
+//     was refused.
+//   - The answer of a request that has ended is fetched.
+//   - An idempotent request is given up if the node cannot be reached.
+//   - Otherwise the inquiry waits and asks again.
+type inquiry struct {
+	p      *Proxy
+	q      *request
+	e      messages.Entry
+	ctx    context.Context
+	cancel context.CancelFunc
+	timer  *time.Timer
+	// stopWithdrawal keeps withdraw from being called. A call for a request that runs on
+	// the local server is not withdrawn, since the request would fail.
+	stopWithdrawal func() bool
+	// received is set when the first bytes of the answer arrive.
+	received atomic.Bool
+
+	mu sync.Mutex
+	// found is the outcome of the request if the inquiry has determined it.
+	found *pending.Answer
+}
+
+// newInquiry starts an inquiry and returns it with the context for the request, which is
+// canceled when the inquiry has an outcome.
+func (p *Proxy) newInquiry(ctx context.Context, q *request, e messages.Entry) (*inquiry, context.Context) {
+	i := &inquiry{p: p, q: q, e: e}
+	i.ctx, i.cancel = context.WithCancel(ctx)
+	i.timer = time.AfterFunc(p.probeDelay(e, q), i.run)
+	i.stopWithdrawal = func() bool { return true }
+	if !q.inner {
+		i.stopWithdrawal = context.AfterFunc(p.withdrawing, i.withdraw)
+	}
+	return i, i.ctx
+}
+
+// stop ends the inquiry.
+func (i *inquiry) stop() {
+	i.timer.Stop()
+	i.stopWithdrawal()
+	i.cancel()
+}
+
+// outcome returns the outcome of the request if the inquiry has one.
+func (i *inquiry) outcome() (pending.Answer, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.found == nil {
+		return pending.Answer{}, false
+	}
+	return *i.found, true
+}
+
+// end ends the request with an outcome. The other connections to the node that are idle
+// may be silent too.
+func (i *inquiry) end(a pending.Answer) {
+	i.mu.Lock()
+	i.found = &a
+	i.mu.Unlock()
+	i.p.pool.CloseIdle(i.e.Call)
+	i.cancel()
+}
+
+// run asks until the request has an outcome.
+func (i *inquiry) run() {
+	delay := i.p.probeDelay(i.e, i.q)
+	for i.ctx.Err() == nil && !i.received.Load() {
+		if i.ask() {
+			return
+		}
+		wait.For(i.ctx, delay)
+		delay *= 2
+	}
+}
+
+// ask asks once. It returns true if the inquiry is finished.
+func (i *inquiry) ask() bool {
+	started := time.Now()
+	state, _, ok := i.p.prober.Ask(i.ctx, i.e, i.question(false, false))
+	switch {
+	case i.ctx.Err() != nil || i.received.Load():
+		return true
+	case !ok:
+		if i.q.route.Kind == routes.Idempotent && !i.p.hasAnsweredSince(i.e, started) {
+			i.cancel()
+			return true
+		}
+	case state == withdrawal.Withdrawn:
+		i.logState(state)
+		i.end(pending.Answer{Result: hop.Result{Verdict: hop.NotRun, Rule: local.RuleWithdrawn}})
+		return true
+	case state == withdrawal.Ended:
+		wait.For(i.ctx, answerTransit)
+		if i.ctx.Err() != nil || i.received.Load() {
+			return true
+		}
+		i.logState(state)
+		return i.fetch()
+	}
+	return false
+}
+
+// fetch fetches the answer of a request that has ended. It returns true if the inquiry is
+// finished.
+func (i *inquiry) fetch() bool {
+	_, answer, ok := i.p.prober.Ask(i.ctx, i.e, i.question(false, true))
+	if !ok {
+		return false
+	}
+	if answer == nil {
+		if i.q.route.Kind != routes.Idempotent {
+			return false
+		}
+		i.p.pool.CloseIdle(i.e.Call)
+		i.cancel()
+		return true
+	}
+	result, err := hop.ReadResult(answer.Header)
+	if err != nil {
+		i.p.log.WriteLimited("hopMalformed", log.Fields{"error": err, "from": i.e.Node})
+		return false
+	}
+	hop.StripHeaders(answer.Header)
+	i.end(pending.Answer{Result: result, Response: answer})
+	return true
+}
+
+// withdraw takes the request back at the end of the grace period, unless the server works
+// on it.
+func (i *inquiry) withdraw() {
+	state, _, _ := i.p.prober.Ask(i.ctx, i.e, i.question(true, false))
+	if state == withdrawal.Withdrawn {
+		i.logState(state)
+		i.end(pending.Answer{Result: hop.Result{Verdict: hop.NotRun, Rule: local.RuleWithdrawn}})
+	}
+}
+
+func (i *inquiry) question(withdraw, fetch bool) hop.Question {
+	return hop.Question{
+		ID: i.q.id, Epoch: i.e.Epoch, TimeLeft: time.Until(i.q.deadline), Withdraw: withdraw, Fetch: fetch,
+	}
+}
+
+func (i *inquiry) logState(s withdrawal.State) {
+	if i.p.log.Allow("answerMissed") {
+		i.p.log.Write("answerMissed", log.Fields{"request": i.q.id, "peer": i.e.Node, "state": s.String()})
+	}
+}
--- a/internal/mesh/proxy/offer.go
+++ b/internal/mesh/proxy/offer.go
@@ -28,6 +28,13 @@
 		if ctx.Err() != nil || q.deadline.Sub(now) < minTimeLeft {
 			return deadlineExceeded(q, last)
 		}
+		if p.withdrawing.Err() != nil && !q.inner {
+			q.earliestRetry = retryafter.Stopping
+			if last.rule == "" {
+				last.rule = ruleStopping
+			}
+			break
+		}
 		choice, ok := p.pick(now, q)
 		if ok && choice.Full && !q.inner {
 			q.attemptLog = append(q.attemptLog, choice.Entry.Node+" full a moment ago")
@@ -175,7 +182,11 @@
 	switch {
 	case err == nil && result.Rule == ruleStopping:
 		p.picker.Stopping(now, e)
+		// The node closes them, perhaps while the next request is in transit.
+		p.pool.CloseIdle(e.Call)
 		failed = true
+	case err == nil && result.Rule == local.RuleWithdrawn:
+		p.picker.Abandoned(e)
 	case err == nil:
 		p.picker.Answered(now, e, q.route.Name, result.Load)
 		switch {
@@ -209,8 +220,8 @@
 }
 
 // send sends the request to a node, or runs it if the node is this one. It returns an
-// error if the node itself did not answer. It cancels an idempotent request that is not
-// answered for unusually long if the node then fails a probe.
+// error if the node itself did not answer. After an unusually long time it asks the node
+// what became of the request.
 func (p *Proxy) send(ctx context.Context, q *request, e messages.Entry, c hop.Call) (hop.Result, *http1.Response, error) {
 	if e.Node == p.self.Node {
 		result, answer := p.local.Run(ctx, c, q.http)
@@ -221,20 +232,14 @@
 	forwarded.IsAnswer = nil
 	forwarded.ExpectContinue = len(q.http.Body) >= pick.LargeBodyBytes
 	hop.WriteCall(forwarded.Header, c)
-	if q.route.Kind == routes.Idempotent {
-		cancelable, cancel := context.WithCancel(ctx)
-		defer cancel()
-		probeTimer := time.AfterFunc(p.probeDelay(e, q), func() {
-			probeStarted := time.Now()
-			if !p.prober.IsReachable(cancelable, e) && !p.hasAnsweredSince(e, probeStarted) {
-				cancel()
-			}
-		})
-		defer probeTimer.Stop()
-		ctx = cancelable
-	}
+	i, ctx := p.newInquiry(ctx, q, e)
+	defer i.stop()
+	forwarded.Received = &i.received
 	answer, err := p.pool.Do(ctx, e.Call, &forwarded)
 	if err != nil {
+		if fetched, ok := i.outcome(); ok {
+			return fetched.Result, fetched.Response, nil
+		}
 		if !http1.MayHaveSent(err) {
 			return hop.Result{Verdict: hop.NotRun, Rule: ruleUnanswered}, nil, err
 		}
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -36,6 +36,7 @@
 	"lavenderdeal/internal/mesh/local"
 	"lavenderdeal/internal/mesh/members"
 	"lavenderdeal/internal/mesh/meter"
+	"lavenderdeal/internal/mesh/pending"
 	"lavenderdeal/internal/mesh/probe"
 	"lavenderdeal/internal/mesh/versions"
 	"lavenderdeal/internal/mesh/waitqueue"
@@ -107,6 +108,13 @@
 	// draining is set by Drain and refusingNew by RefuseNew.
 	draining    atomic.Bool
 	refusingNew atomic.Bool
+	// stopAt is when a stopping node cuts off requests.
+	stopAt atomic.Pointer[time.Time]
+	// withdrawing ends by Withdraw and running by CutOff.
+	withdrawing, running context.Context
+	withdraw, cutOff     context.CancelFunc
+	// pending holds the requests that other nodes have forwarded.
+	pending pending.Requests
 	// inFlight is the number of requests that have not been answered yet.
 	inFlight atomic.Int64
 	meter    *meter.Meter
@@ -158,6 +166,8 @@
 	}
 	p.pool = http1.New(p.poolOpts...)
 	p.prober = probe.New(p.pool, lg)
+	p.withdrawing, p.withdraw = context.WithCancel(context.Background())
+	p.running, p.cutOff = context.WithCancel(context.Background())
 	return p
 }
 
@@ -170,18 +180,34 @@
 
 // Close stops the probes of other nodes and closes the idle connections to them.
 func (p *Proxy) Close() {
+	p.withdraw()
+	p.cutOff()
 	p.prober.Close()
 	p.pool.Close()
 }
 
 // Drain makes each response close its connection, so that callers open new ones
-// elsewhere.
-func (p *Proxy) Drain() { p.draining.Store(true) }
+// elsewhere. Requests that arrive from now on get no more time than until end, when CutOff
+// is called.
+func (p *Proxy) Drain(end time.Time) {
+	p.stopAt.Store(&end)
+	p.draining.Store(true)
+}
 
 // RefuseNew makes further requests be refused as not run, except the calls of
 // requests that still run on the local server.
 func (p *Proxy) RefuseNew() { p.refusingNew.Store(true) }
 
+// Withdraw refuses all requests that have not been sent to a server. Those that wait at
+// other nodes are withdrawn there. It does not wait for the outcomes.
+func (p *Proxy) Withdraw() {
+	p.link.Update(func(g *gate.Gate) { g.Close() })
+	p.withdraw()
+}
+
+// CutOff fails all requests that have not been answered.
+func (p *Proxy) CutOff() { p.cutOff() }
+
 // InFlight returns the number of requests that have not been answered yet.
 func (p *Proxy) InFlight() int { return int(p.inFlight.Load()) }
 
@@ -250,13 +276,17 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	defer context.AfterFunc(p.running, cancel)()
 	o := p.run(ctx, q)
 	if o.answer != nil {
 		p.writeAnswer(w, q, o)
 		return
 	}
-	if r.Context().Err() != nil {
+	switch {
+	case r.Context().Err() != nil:
 		o.rule = local.RuleCallerLeft
+	case p.running.Err() != nil:
+		o.rule = ruleStopping
 	}
 	p.writeRefusal(w, q, o)
 }
@@ -293,6 +323,9 @@
 		left = min(left, in.TimeLeft)
 	}
 	q.deadline = started.Add(left)
+	if end := p.stopAt.Load(); end != nil && end.Before(q.deadline) {
+		q.deadline = *end
+	}
 	q.rank, q.target = route.Rank, started.Add(route.TargetLatency)
 	if hasParent {
 		// If the call fails, the parent's slot and work are wasted. So the call has
--- /dev/null
+++ b/internal/mesh/silent_test.go
@@ -0,0 +1,185 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lavenderdeal/internal/standin/testserver"
+)
+
+// silencer forwards connections to a target, and can make the open ones go silent for
+// good: they stay open and carry no more data.
+type silencer struct {
+	addr netip.AddrPort
+	// count is the number of connections that both sides keep open.
+	count atomic.Int64
+	mu    sync.Mutex
+	open  []*silencedConn
+}
+
+// silencedConn is one direction of a connection.
+type silencedConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (c *silencedConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// newSilencer returns a silencer for a target.
+func newSilencer(t *testing.T, target netip.AddrPort) *silencer {
+	s := &silencer{}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.addr = testserver.Accept(t, func(from net.Conn) {
+		raw, err := net.Dial("tcp", target.String())
+		if err != nil {
+			return
+		}
+		s.count.Add(1)
+		defer s.count.Add(-1)
+		var silent atomic.Bool
+		to, back := &silencedConn{raw, &silent}, &silencedConn{from, &silent}
+		s.mu.Lock()
+		s.open = append(s.open, to)
+		s.mu.Unlock()
+		defer context.AfterFunc(ctx, func() { _, _ = raw.Close(), from.Close() })()
+		var group errgroup.Group
+		group.Go(func() error { _, _ = io.Copy(to, from); return raw.Close() })
+		group.Go(func() error { _, _ = io.Copy(back, raw); return from.Close() })
+		_ = group.Wait()
+	})
+	t.Cleanup(cancel)
+	return s
+}
+
+// silence makes the open connections go silent.
+func (s *silencer) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.open {
+		c.silent.Store(true)
+	}
+}
+
+// newSilencedPair starts a node with callers and a node with a server of the service of
+// bookings, whose call address is behind a silencer.
+func newSilencedPair(t *testing.T) (f *fleet, near, far *member, s *silencer) {
+	f = newFleet(t)
+	near, far = f.add("a", "availability", 4), f.add("a", "bookings", 4)
+	f.kill(far)
+	s = newSilencer(t, far.cfg.Listen.Call)
+	far.cfg.Announce.Call = &s.addr
+	f.start(far)
+	near.sendHeartbeat(t, "ready")
+	far.sendHeartbeat(t, "ready")
+	f.waitServed(near, "/booking/1")
+	return f, near, far, s
+}
+
+// Guards against requests that wait until their deadline on a kept connection that has gone
+// silent, although the node at its other end runs and new connections to it work.
+func TestSilentConnections(t *testing.T) {
+	t.Run("a request that did not arrive is sent once more and runs once", func(t *testing.T) {
+		t.Parallel()
+		f, near, far, s := newSilencedPair(t)
+		other := f.add("a", "bookings", 4)
+		other.sendHeartbeat(t, "ready")
+		f.eventually("both servers are used", func() bool {
+			_, _ = f.call(near, http.MethodPost, "/booking/1", "")
+			return len(other.server.Runs()) > 0
+		})
+		a, err := f.call(near, http.MethodPost, "/booking/1", "")
+		assertStatus(t, a, err, http.StatusOK)
+		s.silence()
+		for i := range 8 {
+			id := fmt.Sprintf("after-%d", i)
+			a, err := f.callWith(context.Background(), near, http.MethodPost, "/booking/2", "", http.Header{"Request-Id": {id}})
+			assertStatus(t, a, err, http.StatusOK)
+			n := 0
+			for _, run := range append(far.server.Runs(), other.server.Runs()...) {
+				if run.ID == id {
+					n++
+				}
+			}
+			if n != 1 {
+				t.Fatalf("%s ran %d times, want once", id, n)
+			}
+		}
+	})
+	t.Run("the answer of a request that runs meanwhile is delivered", func(t *testing.T) {
+		t.Parallel()
+		f, near, far, s := newSilencedPair(t)
+		far.server.SetRunTime(250 * time.Millisecond)
+		var group errgroup.Group
+		group.Go(func() error {
+			a, err := f.callWith(context.Background(), near, http.MethodPost, "/booking/2", "", http.Header{"Request-Id": {"running"}})
+			if err != nil || a.status != http.StatusOK || !a.signed || a.id != "running" || a.body != "ran /booking/2" {
+				t.Errorf("got %+v, error %v, want the server's answer", a, err)
+			}
+			return nil
+		})
+		waitRunning(f, far.server, "running")
+		s.silence()
+		_ = group.Wait()
+		assertRuns(t, far.server, "running", 1)
+	})
+	t.Run("a question to another process gets no promise", func(t *testing.T) {
+		t.Parallel()
+		_, _, far, _ := newSilencedPair(t)
+		r, err := http.NewRequest(http.MethodGet, "http://"+far.cfg.Listen.Call.String()+"/lavenderdeal/probe", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Lavenderdeal-Ask", "1;1000;w;never-sent")
+		raw, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer raw.Body.Close()
+		if got := raw.Header.Get("Lavenderdeal-State"); raw.StatusCode != http.StatusNoContent || got != "unknown" {
+			t.Fatalf("got status %d and state %q, want 204 and unknown", raw.StatusCode, got)
+		}
+	})
+}
+
+// Guards against a request on an idle connection that a stopping node closes at the same
+// moment, so that it may or may not have run. A node that refuses because it is stopping gets
+// no more requests on connections that were opened before.
+func TestStoppingNodeHasNoIdleConnections(t *testing.T) {
+	f, near, far, s := newSilencedPair(t)
+	far.server.SetRunTime(50 * time.Millisecond)
+	var group errgroup.Group
+	for range 3 {
+		group.Go(func() error { _, _ = f.call(near, http.MethodPost, "/booking/1", ""); return nil })
+	}
+	_ = group.Wait()
+	far.server.SetRunTime(2 * time.Second)
+	f.configure(2, longRoutes())
+	f.eventually("the long routes are in force", func() bool { return near.lines.Totals()["versionInForce"] >= 2 })
+	group.Go(func() error { _, _ = longCall(f, near, "running"); return nil })
+	waitRunning(f, far.server, "running")
+	if n := s.count.Load(); n < 2 {
+		t.Fatalf("%d connections are open, want the running request's and idle ones", n)
+	}
+	group.Go(func() error { return f.stop(far) })
+	f.eventually("the stopping node refuses", func() bool {
+		a, err := f.call(near, http.MethodPost, "/booking/1", "")
+		return err == nil && a.status == http.StatusServiceUnavailable
+	})
+	f.eventually("only the running request's connection is open", func() bool { return s.count.Load() <= 1 })
+	_ = group.Wait()
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -170,6 +170,7 @@
 	"deadlinePassed":      "the deadline of the request passed",
 	"waitedTooLong":       "the request waited too long for a slot: refused, not run",
 	"callerLeft":          "the caller disconnected",
+	"withdrawn":           "the node that forwarded the request took it back because its connection gave no answer, or because it was stopping: not run there",
 	"noConfiguration":     "the node had no configuration yet: refused, not run",
 	"nodeStopping":        "the node was stopping: refused, not run",
 	"noRoute":             "the configuration in force has no route for the host and path",
--- a/io/hop/hop.go
+++ b/io/hop/hop.go
@@ -8,7 +8,9 @@
 //	hop.WriteCall(header, call)
 //	call, err := hop.ReadCall(header)
 //
-// Both are lists of short values separated by semicolons, since traffic between
+// A node that misses an answer asks for the state of the request with a [Question].
+//
+// All are lists of short values separated by semicolons, since traffic between
 // availability zones is billed by the byte.
 package hop
 
@@ -198,10 +200,15 @@
 // forwarded the request.
 func IsCall(h http.Header) bool { return len(h[headerCall]) > 0 }
 
+// IsResult returns true if an answer's header contains a result.
+func IsResult(h http.Header) bool { return len(h[headerResult]) > 0 }
+
 // StripHeaders removes the fields that only nodes may send from a caller's header.
 func StripHeaders(h http.Header) {
 	delete(h, headerCall)
 	delete(h, headerResult)
+	delete(h, headerQuestion)
+	delete(h, headerState)
 }
 
 func milliseconds(text string) (time.Duration, error) {
--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"lavenderdeal/core/pick"
+	"lavenderdeal/core/withdrawal"
 	"lavenderdeal/io/hop"
 )
 
@@ -56,6 +57,44 @@
 	}))
 }
 
+func TestQuestions(t *testing.T) {
+	t.Run("questions", rapid.MakeCheck(func(t *rapid.T) {
+		want := hop.Question{
+			ID: rapid.StringMatching(`[a-z0-9.;, -]{1,20}`).Draw(t, "id"), Epoch: rapid.Int().Draw(t, "epoch"),
+			TimeLeft: duration(t, "left"), Withdraw: rapid.Bool().Draw(t, "withdraw"), Fetch: rapid.Bool().Draw(t, "fetch"),
+		}
+		h := http.Header{}
+		hop.WriteQuestion(h, want)
+		got, err := hop.ReadQuestion(h)
+		if err != nil || got != want || !hop.IsQuestion(h) {
+			t.Fatalf("got %+v, error %v, want %+v", got, err, want)
+		}
+	}))
+	t.Run("states", func(t *testing.T) {
+		for _, want := range []withdrawal.State{withdrawal.Unknown, withdrawal.Withdrawn, withdrawal.Waiting, withdrawal.Running, withdrawal.Ended} {
+			h := http.Header{}
+			hop.WriteState(h, want)
+			if got, ok := hop.ReadState(h); !ok || got != want {
+				t.Fatalf("got %d, %v, want %d", got, ok, want)
+			}
+		}
+	})
+	t.Run("an answer without a state is not a promise", func(t *testing.T) {
+		for _, h := range []http.Header{{}, {"Lavenderdeal-State": {"other"}}} {
+			if got, ok := hop.ReadState(h); ok || got != withdrawal.Unknown {
+				t.Fatalf("got %d, %v, want unknown and false", got, ok)
+			}
+		}
+	})
+	t.Run("malformed questions are errors", func(t *testing.T) {
+		for _, text := range []string{"", "1", "1;2;;", "x;2;;r", "1;x;w;r", "1;99999999999;w;r"} {
+			if q, err := hop.ReadQuestion(http.Header{"Lavenderdeal-Ask": {text}}); err == nil {
+				t.Fatalf("%q was read as %+v, want an error", text, q)
+			}
+		}
+	})
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add("bookings;i-1;stock;0;i;500;1000")
 	f.Add("r;;1;1;0;18;0;150;0;3")
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -182,6 +182,8 @@
 type boundedReader struct {
 	conn net.Conn
 	left int64
+	// received is set when bytes arrive. It may be nil.
+	received *atomic.Bool
 }
 
 // errTooLong is the error of an answer that is longer than its bound.
@@ -193,6 +195,9 @@
 	}
 	n, err := r.conn.Read(b[:min(int64(len(b)), r.left)])
 	r.left -= int64(n)
+	if n > 0 && r.received != nil {
+		r.received.Store(true)
+	}
 	return n, err
 }
 
@@ -251,6 +256,17 @@
 	_ = p.group.Wait()
 }
 
+// CloseIdle closes the idle connections to an address.
+func (p *Pool) CloseIdle(to netip.AddrPort) {
+	p.mu.Lock()
+	idle := p.idle[to]
+	delete(p.idle, to)
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
 // Do sends the request to the address and returns its whole answer. The error is an
 // [*Error]. If ctx ends, the connection is closed, so that the server can cancel the
 // request.
@@ -283,6 +299,7 @@
 // exchange sends the request and returns its answer and whether the connection can be
 // reused.
 func (p *Pool) exchange(c *conn, r *Request) (*Response, bool, error) {
+	c.bound.received = nil
 	c.buf = appendHead(c.buf[:0], r)
 	written := true
 	var wrote chan bool
@@ -296,6 +313,7 @@
 		}
 		c.buf = c.buf[:0]
 	}
+	c.bound.received = r.Received
 	if len(r.Body) <= maxInlineBody {
 		c.buf = append(c.buf, r.Body...)
 		if _, err := c.Write(c.buf); err != nil {
