mesh: refuse requests that no server works on when the grace period ends

Result: four cases of TestGracePeriodEnds fail before and pass now; that a request late in the grace period is refused held before, too.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -65,6 +65,9 @@
 	// quietTime is the time without a request in flight after which a stopping node
 	// exits.
 	quietTime = 100 * time.Millisecond
+	// withdrawTime is the last part of the time for requests in flight. In it, those
+	// that no server works on are refused, which may take a call to another node.
+	withdrawTime = 400 * time.Millisecond
 	// graceMargin is the part of the grace period that is reserved for closing
 	// listeners and flushing the log.
 	graceMargin = 500 * time.Millisecond
@@ -309,8 +312,9 @@
 
 // Stop shuts the node down gracefully. It announces to the other nodes and by the
 // readiness check that the node is stopping, keeps serving until callers have noticed,
-// refuses later requests, waits for requests in flight and closes the node. It returns
-// an error if requests were still in flight at the end of the grace period.
+// refuses later requests, waits for requests in flight and closes the node. Shortly before
+// the end of the grace period it refuses the requests that no server works on. It returns
+// an error if other requests were still in flight at the end; they are answered as failed.
 func (n *Node) Stop() error {
 	started := time.Now()
 	n.mu.Lock()
@@ -326,15 +330,22 @@
 	})
 	n.proxy.RefuseNew()
 	lastBusy := time.Now()
-	wait.Until(ctx, time.Until(end), func() bool {
+	isQuiet := func() bool {
 		now := time.Now()
 		if n.proxy.InFlight() > 0 {
 			lastBusy = now
 		}
 		return now.Sub(lastBusy) >= quietTime
-	})
+	}
+	if !wait.Until(ctx, time.Until(end)-withdrawTime, isQuiet) {
+		n.log.WriteLimited("withdrawing", log.Fields{"inFlight": n.proxy.InFlight()})
+		n.local.RefuseWaiting()
+		n.proxy.Withdraw()
+		wait.Until(ctx, time.Until(end), isQuiet)
+	}
 	left := n.proxy.InFlight()
 	n.log.WriteLimited("stopped", log.Fields{"cutOff": left, "took": time.Since(started).String()})
+	n.proxy.CutOff()
 	n.shutdownServers()
 	n.close()
 	if left > 0 {
