versions, members: changes of the configuration travel between nodes

Cause: each node read each version from the store, a copy first and mostly the store itself after it, so calls grew with nodes times versions. Watching nodes also read the whole document after each change. Change: nodes keep the changes that led to their document (core/delta) and answer with them; the store is read by the watching nodes, and by others only if no node that announced the version has the changes. Watching nodes read once more only after versions in quick succession.

--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -51,6 +51,9 @@
 	// succeeded. It is also the mean time between attempts to store that the server
 	// is leaving.
 	aloneListInterval = 300 * time.Millisecond
+	// waitingDelay is how long a node that has started waits for a heartbeat of its server
+	// before it sends its entry to all other nodes without one.
+	waitingDelay = 2 * time.Second
 	// ownWatchTime is the time that the node's own watch of the store has to return a
 	// version that another node has applied, before it is fetched in another way. It is
 	// longer than the time for which a watching node batches versions.
@@ -76,6 +79,9 @@
 	// maxDifferingSyncs is the number of comparisons in a row that find a difference
 	// before all entries are exchanged, which are many bytes in a large fleet.
 	maxDifferingSyncs = 2
+	// deltaTimeout bounds a request for the changes of a configuration, which are short.
+	// If it is not answered, the store is read instead.
+	deltaTimeout = 250 * time.Millisecond
 	// fetchTimeout is enough for a document of a megabyte over a link of 7 Mbit/s.
 	fetchTimeout = 1500 * time.Millisecond
 	// fetchAttempts bounds the attempts to fetch a version, since newer ones may be
@@ -180,7 +186,7 @@
 		return messages.Told{Version: int(m.versions.Version())}, nil
 	})
 	peer.Handle(mux, methodVersion, func(_ context.Context, q messages.VersionQuestion) (messages.VersionAnswer, error) {
-		return messages.VersionAnswer{Content: string(m.versions.NewerThan(uint64(max(q.Above, 0))))}, nil
+		return m.versions.Answer(uint64(max(q.Above, 0)), q.Digests), nil
 	})
 }
 
--- a/internal/mesh/members/sync.go
+++ b/internal/mesh/members/sync.go
@@ -112,19 +112,19 @@
 		return
 	}
 	m.group.Go(func() error {
-		m.fetchIfNewer(e, version)
+		m.fetchIfNewer(version, e)
 		return nil
 	})
 }
 
-// fetchIfNewer fetches a configuration from another node if its version is newer than
-// the applied one and neither this node's own watch nor a read of the store returns
-// it. Only one call at a time fetches: when all nodes answer a broadcast with a
+// fetchIfNewer fetches a configuration if its version is newer than the applied one and
+// this node's own watch does not return it: the changes from one of the given nodes, which
+// have announced it, or else from the store, or else the document from the last node. Only one call at a time fetches: when all nodes answer a broadcast with a
 // higher version, a document from each of them would saturate the link for seconds.
 // The others rely on that call, so it ends only with the version, after fetchAttempts or
 // with the node. A version that was not found is not wanted any more, since it may not
 // exist.
-func (m *Members) fetchIfNewer(e messages.Entry, version int) {
+func (m *Members) fetchIfNewer(version int, from ...messages.Entry) {
 	if uint64(max(version, 0)) <= m.versions.Version() {
 		return
 	}
@@ -138,7 +138,7 @@
 		if uint64(wantedVersion) <= m.versions.Version() || !m.fetching.CompareAndSwap(false, true) {
 			return
 		}
-		m.fetch(m.ctx, e, wantedVersion)
+		m.fetch(m.ctx, wantedVersion, from)
 		m.fetching.Store(false)
 	}
 	m.mu.Lock()
@@ -146,33 +146,50 @@
 	m.wantedVersion = int(m.versions.Version())
 }
 
-// fetch waits until the watch or a read of the store should have returned the version,
-// unless the store is down or this node has no configuration yet. If neither has, it
-// requests the configuration from the node and applies it.
-func (m *Members) fetch(ctx context.Context, e messages.Entry, version int) {
-	if m.versions.Version() > 0 && !m.versions.IsStoreDown() {
-		pause := ownWatchTime
-		if !m.versions.IsWatching() {
-			pause = minRefreshInterval - m.versions.SinceRefresh()
-		}
-		if !wait.For(ctx, pause) || uint64(version) <= m.versions.Version() {
+// fetch fetches a version. A node that watches the store first waits until its watch should
+// have returned the version. Then the given nodes are asked for the changes, and the store is
+// read only if none has them and it is not down. If the version is still missing, the last
+// node is asked for its document.
+func (m *Members) fetch(ctx context.Context, version int, from []messages.Entry) {
+	isMissing := func() bool { return uint64(version) > m.versions.Version() }
+	if m.versions.Version() > 0 {
+		if m.versions.IsWatching() && !m.versions.IsStoreDown() && !wait.For(ctx, ownWatchTime) {
 			return
 		}
-		m.versions.Refresh(ctx, uint64(version))
+		for _, e := range from {
+			if isMissing() {
+				m.ask(ctx, e, version, deltaTimeout, true)
+			}
+		}
+		if isMissing() && !m.versions.IsStoreDown() {
+			if !wait.For(ctx, minRefreshInterval-m.versions.SinceRefresh()) || !isMissing() {
+				return
+			}
+			m.versions.Refresh(ctx, uint64(version))
+		}
 	}
-	inForce := m.versions.Version()
-	if uint64(version) <= inForce {
-		return
+	if isMissing() {
+		m.ask(ctx, from[len(from)-1], version, fetchTimeout, false)
 	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+}
+
+// ask requests a version from a node and applies what it sends: the changes since the
+// applied version if onlyChanges is set, and the document otherwise.
+func (m *Members) ask(ctx context.Context, e messages.Entry, version int, limit time.Duration, onlyChanges bool) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	m.log.WriteLimited("versionAsked", log.Fields{"from": e.Node, "version": version, "inForce": inForce})
-	a, err := peer.Call[messages.VersionAnswer](ctx, m.endpoint, e.Peer, methodVersion, messages.VersionQuestion{Above: int(inForce)})
+	inForce, digests := m.versions.Digests()
+	kind := "changesAsked"
+	if !onlyChanges {
+		kind, digests = "versionAsked", nil
+	}
+	m.log.WriteLimited(kind, log.Fields{"from": e.Node, "version": version, "inForce": inForce})
+	a, err := peer.Call[messages.VersionAnswer](ctx, m.endpoint, e.Peer, methodVersion, messages.VersionQuestion{Above: int(inForce), Digests: digests})
 	if err != nil {
 		m.log.WriteLimited("versionNotFetched", log.Fields{"from": e.Node, "version": version, "inForce": inForce, "error": err})
 		return
 	}
-	m.versions.Offer([]byte(a.Content), e.Node)
+	m.versions.Offer(a, e.Node)
 }
 
 // recordMiss records a failed comparison with a node, and forgets the node after too
--- a/internal/mesh/members/watching.go
+++ b/internal/mesh/members/watching.go
@@ -99,6 +99,7 @@
 func (m *Members) announceLocked(q messages.News) {
 	byZone := make(map[string][]string)
 	zone := m.roster.Own().Zone
+	q.Via = m.roster.Own().Node
 	for _, e := range m.roster.Others() {
 		isOwnZone, watches := e.Zone == zone, m.isWatcherLocked(e, byZone)
 		if e.Node != q.Node && (isOwnZone && !watches || !isOwnZone && watches) {
@@ -195,8 +196,13 @@
 		m.mu.Unlock()
 		return
 	}
+	askFirst := []messages.Entry{from}
+	if via, ok := m.roster.Get(q.Via); ok && q.Via != q.Node && via.Node != m.roster.Own().Node {
+		// A node of this zone, which may have the version meanwhile.
+		askFirst = []messages.Entry{via, from}
+	}
 	m.group.Go(func() error {
-		m.fetchIfNewer(from, q.Version)
+		m.fetchIfNewer(q.Version, askFirst...)
 		return nil
 	})
 	m.mu.Unlock()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -552,7 +552,7 @@
 	f.waitServed(f.nodes[0], "/moved/1")
 	cutOff.sendHeartbeat(t, "ready")
 	f.waitServed(cutOff, "/moved/1")
-	if n := cutOff.lines.Totals()["versionAsked"]; n != 1 {
+	if n := cutOff.lines.Totals()["versionAsked"] + cutOff.lines.Totals()["changesAsked"]; n != 1 {
 		t.Fatalf("the node fetched the version %d times, want once", n)
 	}
 }
@@ -961,7 +961,7 @@
 	}
 	defer func() { _ = endpoint.Close() }()
 	// Without a version yet, the node may have asked the other one for the first.
-	before := near.lines.Totals()["versionAsked"]
+	before, changesBefore := near.lines.Totals()["versionAsked"], near.lines.Totals()["changesAsked"]
 	asked := func() uint64 { return near.lines.Totals()["versionAsked"] - before }
 	news := messages.News{Node: far.cfg.Node, Version: 1000}
 	if _, err := peer.Call[messages.Told](t.Context(), endpoint, near.cfg.Listen.Peer, "rosterNews", news); err != nil {
@@ -972,6 +972,9 @@
 	if n := asked(); n > fetchAttempts {
 		t.Fatalf("the version was requested %d times, want 3", n)
 	}
+	if n := near.lines.Totals()["changesAsked"] - changesBefore; n > fetchAttempts {
+		t.Fatalf("the changes to the version were requested %d times, want at most 3", n)
+	}
 }
 
 // Guards against a changed drain time that takes effect only after a restart, and
--- a/internal/mesh/versions/versions.go
+++ b/internal/mesh/versions/versions.go
@@ -31,11 +31,13 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"lavenderdeal/core/delta"
 	"lavenderdeal/core/routes"
 	"lavenderdeal/internal/jsonlog"
 	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/store"
 	"lavenderdeal/platform"
+	messages "lavenderdeal/schema/roster"
 )
 
 const (
@@ -45,9 +47,11 @@
 	// watchTime is how long the store keeps a watch open. It is the maximum that the
 	// store allows, since calls are expensive.
 	watchTime = 30 * time.Second
-	// batchDelay is the pause after a change, so that versions in quick succession
-	// are read together. A version must be applied within two seconds.
-	batchDelay = 500 * time.Millisecond
+	// batchDelay is the pause after a change that follows another one within
+	// successionTime, so that versions in quick succession are read together. A version
+	// must be applied within two seconds.
+	batchDelay     = 500 * time.Millisecond
+	successionTime = 2 * time.Second
 	// copyMistrust is how long a node does not read copies after one was behind.
 	copyMistrust = 5 * time.Second
 	// checkInterval is the mean time between checks that the store answers and that
@@ -84,6 +88,10 @@
 	// routes.
 	content    []byte
 	routeCache platform.RouteCache
+	// contentRevision is the revision of the store at which content was written, and
+	// history has the changes that led to it.
+	contentRevision uint64
+	history         delta.History
 	// notify is called with each event, without mu, unless it is nil.
 	notify func(Event)
 	// cancel cancels the current call of follow, or is nil between calls. inWatch is
@@ -187,21 +195,71 @@
 	return 0
 }
 
-// NewerThan returns the applied document if its version is higher than the given
-// one, and nil otherwise.
-func (f *Follower) NewerThan(version uint64) []byte {
+// Answer returns what a node needs whose applied version has a number: nothing if this
+// node's version is not higher, the deltas from one of its last documents, or this node's
+// document if no digests of them are given.
+func (f *Follower) Answer(above uint64, digests []string) messages.VersionAnswer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.Version() <= version {
-		return nil
+	if f.Version() <= above {
+		return messages.VersionAnswer{}
 	}
-	return f.content
+	a := messages.VersionAnswer{Revision: int(f.contentRevision)}
+	if len(digests) == 0 {
+		a.Content = string(f.content)
+	} else {
+		a.Deltas, _ = f.history.Since(digests...)
+	}
+	return a
 }
 
-// Offer applies a document from another node if it is valid and its version is higher
-// than the applied one. The source is the name of the node, for the log.
-func (f *Follower) Offer(content []byte, source string) {
-	f.apply(platform.Config{Content: content}, source)
+// Digests returns the number of the applied version, and the digests of its document and of
+// those before it, the latest first.
+func (f *Follower) Digests() (version uint64, digests []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Version(), f.history.Digests()
+}
+
+// Offer applies the document of another node's answer, or the one that its deltas lead to,
+// if it is valid and its version is higher than the applied one. The source is the name of
+// the node, for the log.
+func (f *Follower) Offer(a messages.VersionAnswer, source string) {
+	content := []byte(a.Content)
+	if len(a.Deltas) > 0 {
+		var err error
+		if content, err = f.followDeltas(a.Deltas); err != nil {
+			f.log.WriteLimited("deltaRejected", log.Fields{"source": source, "error": err, "inForce": f.Version()})
+			return
+		}
+	}
+	c := platform.Config{Content: content, ContentRevision: uint64(max(a.Revision, 0))}
+	f.apply(c, source)
+	if f.isApplied(content) {
+		// The answer proves nothing about changes after its document.
+		f.advance(c.ContentRevision)
+	}
+}
+
+// followDeltas returns the document that deltas lead to from one of the last documents.
+func (f *Follower) followDeltas(deltas []messages.Delta) ([]byte, error) {
+	f.mu.Lock()
+	document, err := f.history.Restore(f.content, deltas[0].Before)
+	f.mu.Unlock()
+	for _, d := range deltas {
+		if err != nil {
+			return nil, err
+		}
+		document, err = delta.Apply(document, d)
+	}
+	return document, err
+}
+
+// isApplied reports whether a document is the applied one.
+func (f *Follower) isApplied(content []byte) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(content) > 0 && bytes.Equal(content, f.content)
 }
 
 // apply applies the document of an answer if it is valid and its version is higher than
@@ -223,7 +281,8 @@
 	before := f.Version()
 	isNewer := t.Version() > before
 	if isNewer {
-		f.content, f.routeCache = content, routeCache
+		f.history.Add(f.content, content)
+		f.content, f.routeCache, f.contentRevision = content, routeCache, c.ContentRevision
 		f.table.Store(t)
 	}
 	f.mu.Unlock()
@@ -284,6 +343,7 @@
 // follow reads the configuration and then watches the store while watching is set.
 func (f *Follower) follow(ctx context.Context) {
 	var since uint64
+	var lastChange time.Time
 	failures := 0
 	for ctx.Err() == nil {
 		if since > 0 && !f.watching.Load() {
@@ -301,7 +361,10 @@
 			changed := since > 0 && next != since
 			since = next
 			if changed {
-				since = f.settle(ctx, since)
+				if time.Since(lastChange) < successionTime {
+					since = f.settle(ctx, since)
+				}
+				lastChange = time.Now()
 			}
 			continue
 		case since > 0 && !f.watching.Load():
--- a/schema/roster/roster.gen.go
+++ b/schema/roster/roster.gen.go
@@ -4,6 +4,30 @@
 
 import "net/netip"
 
+// A document by what it has in common with an earlier one.
+type Delta struct {
+	// Digest of the later document.
+	After string `json:"after"`
+
+	// Digest of the earlier document.
+	Before string `json:"before"`
+
+	// Parts of the later document in its order.
+	Parts []DeltaPart `json:"parts"`
+}
+
+// A range of the earlier document, or text if that is not empty.
+type DeltaPart struct {
+	// Offset of the range in bytes.
+	At int `json:"at,omitempty,omitzero"`
+
+	// Length of the range in bytes.
+	Length int `json:"length,omitempty,omitzero"`
+
+	// New text.
+	Text string `json:"text,omitempty,omitzero"`
+}
+
 // State of a node and of the backend server beside it, as the node reports it.
 type Entry struct {
 	// HTTP address for calls from other nodes.
@@ -59,6 +83,9 @@
 
 	// Version of the configuration.
 	Version int `json:"version"`
+
+	// The node that sends this message, which may have applied the version meanwhile.
+	Via string `json:"via,omitempty,omitzero"`
 }
 
 // Lists the messages by which nodes exchange their membership and configuration
@@ -148,12 +175,25 @@
 // A configuration as the operators wrote it.
 type VersionAnswer struct {
 	// The configuration document. Empty when the responding node has no version above
-	// the number.
+	// the number, and in a response with deltas.
 	Content string `json:"content"`
+
+	// Changes from a document of the question to that of the responding node, to be
+	// applied one after the other.
+	Deltas []Delta `json:"deltas,omitempty,omitzero"`
+
+	// Revision of the store at which the document was written, or 0 if it is not
+	// known.
+	Revision int `json:"revision,omitempty,omitzero"`
 }
 
 // Requests the configuration if its version is above a number.
 type VersionQuestion struct {
 	// Version that the requesting node has applied, or 0.
 	Above int `json:"above"`
+
+	// Digests of the documents of that version and of those applied before it, the
+	// latest first. If there are any, the response has deltas from one of them, or
+	// nothing, and no document.
+	Digests []string `json:"digests,omitempty,omitzero"`
 }
