members: send the entry of a node whose server is silent to all nodes

Cause: a starting node introduces itself to three nodes. The others learned of it with its server's first heartbeat, or else by comparisons of rosters, after seconds; watching nodes announce versions only to nodes that they know.

--- a/internal/mesh/members/discover.go
+++ b/internal/mesh/members/discover.go
@@ -62,6 +62,8 @@
 			if own.State != messages.EntryStateWaiting {
 				// The server sent a heartbeat before the other nodes were known.
 				m.broadcast(own)
+			} else {
+				m.broadcastWaiting(ctx)
 			}
 		}
 		switch {
@@ -87,6 +89,18 @@
 	}
 }
 
+// broadcastWaiting sends this node's entry to all other nodes after a moment if its server
+// has still sent no heartbeat, which would cause it to be sent. The watching nodes announce
+// versions only to the nodes that they know.
+func (m *Members) broadcastWaiting(ctx context.Context) {
+	m.group.Go(func() error {
+		if own := m.Own(); wait.For(ctx, waitingDelay) && m.Own().Sequence == own.Sequence {
+			m.broadcast(own)
+		}
+		return nil
+	})
+}
+
 // pause waits for d, or until the store answers again or ctx ends.
 func (m *Members) pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
