http1: serve more than one request on a connection in TestEarlyAnswer

Cause: the test's server read one request a connection. Change: the server discards the rest of the body and goes on; body, limit and number of requests are as before.

--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -333,11 +333,18 @@
 // the next request.
 func TestEarlyAnswer(t *testing.T) {
 	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
-		if _, err := http.ReadRequest(r); err != nil {
-			return
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			writeAnswer(c, "x", "early")
+			// If the whole body is sent before the answer is read, the connection is
+			// kept and carries the next request.
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
 		}
-		writeAnswer(c, "x", "early")
-		_, _ = io.Copy(io.Discard, r)
 	})
 	p := newPool(t)
 	for range 3 {
