node: state which failure a request beside surplus bytes may get

Cause: the check allowed only the right body or a broken connection. Change: that answer and status 200 with the right body are allowed, and no other status; before, any status with that body was.

--- a/internal/node/answers_test.go
+++ b/internal/node/answers_test.go
@@ -19,6 +19,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"lavenderdeal/core/verdict"
 	"lavenderdeal/internal/httpserver"
 	"lavenderdeal/io/caller"
 )
@@ -177,7 +178,11 @@
 	t.Run("surplus bytes are not taken for the next answer", func(t *testing.T) {
 		server.setAnswer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", false)
 		for range 20 {
-			if o := send(client, far, testCall{path: "/"}); o.err == nil && o.body != "ok" {
+			o := send(client, far, testCall{path: "/"})
+			// The bytes may arrive when the next request has just been sent. It may have
+			// run then, and must be answered so.
+			mayHaveRun := o.status == http.StatusBadGateway && o.verdict == (verdict.MayHaveRun{}).String()
+			if o.err == nil && !mayHaveRun && (o.status != http.StatusOK || o.body != "ok") {
 				t.Fatalf("got the surplus bytes of an earlier answer: %v", o)
 			}
 		}
