http1: do not accumulate connections that requests force to be opened

Cause: each question and probe opens a connection, which was then kept idle, up to 64 for each node. Change: such a connection is kept only if no other one is idle. Result: TestForcedConnections fails before (20 connections) and passes now.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -290,7 +290,7 @@
 		_ = c.Close()
 		return nil, &Error{MayHaveSent: true, cause: err}
 	}
-	if !reuse || !p.put(to, c) {
+	if !reuse || !p.put(to, c, r.NewConnection) {
 		_ = c.Close()
 	}
 	return answer, nil
@@ -512,12 +512,17 @@
 }
 
 // put adds the connection to the idle ones. It returns false if the pool is closed or
-// has enough of them.
-func (p *Pool) put(to netip.AddrPort, c *conn) bool {
+// has enough of them. A connection that was opened although others may be idle is kept only
+// if none is, so that forced connections do not accumulate.
+func (p *Pool) put(to netip.AddrPort, c *conn, wasForced bool) bool {
+	limit := maxIdle
+	if wasForced {
+		limit = 1
+	}
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[to]) >= maxIdle {
+	if p.closed || len(p.idle[to]) >= limit {
 		return false
 	}
 	p.idle[to] = append(p.idle[to], c)
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -89,6 +89,31 @@
 	}
 }
 
+// TestForcedConnections checks that connections that requests force to be opened do not
+// accumulate.
+func TestForcedConnections(t *testing.T) {
+	var open atomic.Int64
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		open.Add(1)
+		defer open.Add(-1)
+		for id := readRequest(r); id != ""; id = readRequest(r) {
+			writeAnswer(c, id, id)
+		}
+	})
+	p := newPool(t)
+	for i := range 20 {
+		r := request(fmt.Sprint(i))
+		r.NewConnection = true
+		a, err := do(t, p, addr, r)
+		assertBody(t, a, err, fmt.Sprint(i))
+	}
+	for deadline := time.Now().Add(time.Second); open.Load() > 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d connections are open, want at most 1", open.Load())
+		}
+	}
+}
+
 // TestStrayAnswers checks that an answer on a reused connection is not taken for the
 // answer to another request. A server may send two answers to one request, or a late
 // one to the request before.
