pending, delta: less memory for kept answers and for changes

Cause: a kept answer held the 64 KiB buffer of a body without a length, which its bound did not count; a change was computed with a copy of each segment. Change: bodies are kept without the rest of their buffer, 256 KiB in all; segments are found by hash and compared.

--- a/core/delta/delta.go
+++ b/core/delta/delta.go
@@ -30,9 +30,11 @@
 package delta
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	messages "lavenderdeal/schema/roster"
@@ -60,11 +62,12 @@
 
 // Between returns the delta from one document to another.
 func Between(before, after []byte) messages.Delta {
-	at := make(map[string]int)
+	at := make(map[uint64]int)
 	for start := 0; start < len(before); {
 		end := segmentEnd(before, start)
-		if _, ok := at[string(before[start:end])]; !ok {
-			at[string(before[start:end])] = start
+		hash := xxhash.Sum64(before[start:end])
+		if _, ok := at[hash]; !ok {
+			at[hash] = start
 		}
 		start = end
 	}
@@ -79,19 +82,21 @@
 
 // addSegment appends a segment. It extends the last range if the segment follows it in the
 // earlier document.
-func addSegment(d *messages.Delta, before, segment []byte, at map[string]int) {
+func addSegment(d *messages.Delta, before, segment []byte, at map[uint64]int) {
 	var last *messages.DeltaPart
 	if n := len(d.Parts); n > 0 {
 		last = &d.Parts[n-1]
 	}
 	if last != nil && last.Text == "" {
 		end := last.At + last.Length
-		if end+len(segment) <= len(before) && string(before[end:end+len(segment)]) == string(segment) {
+		if end+len(segment) <= len(before) && bytes.Equal(before[end:end+len(segment)], segment) {
 			last.Length += len(segment)
 			return
 		}
 	}
-	start, ok := at[string(segment)]
+	start, ok := at[xxhash.Sum64(segment)]
+	// Different segments may have the same hash.
+	ok = ok && bytes.HasPrefix(before[start:], segment)
 	switch {
 	case ok && len(segment) >= minRange:
 		d.Parts = append(d.Parts, messages.DeltaPart{At: start, Length: len(segment)})
--- a/internal/mesh/pending/pending.go
+++ b/internal/mesh/pending/pending.go
@@ -25,7 +25,7 @@
 	// maxAnswerBytes bounds the body of an answer that is kept, and maxKeptBytes the
 	// bodies of all.
 	maxAnswerBytes = 64 << 10
-	maxKeptBytes   = 1 << 20
+	maxKeptBytes   = 256 << 10
 	// answerOverhead is the memory of a kept answer beside its body, in bytes.
 	answerOverhead = 1 << 10
 	// keepTime is how long an answer is kept. A node that misses one asks for it after
@@ -107,6 +107,12 @@
 	if a.Response == nil || len(a.Response.Body) > maxAnswerBytes {
 		return
 	}
+	if cap(a.Response.Body) > len(a.Response.Body) {
+		// The buffer of a body without a length is mostly larger than the body.
+		response := *a.Response
+		response.Body = append(make([]byte, 0, len(response.Body)), response.Body...)
+		a.Response = &response
+	}
 	now := time.Now()
 	r := q.requests
 	r.mu.Lock()
