withdrawal: keep a withdrawn request for the deadline of the question too

Cause: a question with a later deadline than the request did not extend the time for which the record was kept, so the record could go before the promise ended, and the request was accepted when it arrived once more. Change: questions extend that time as arrivals do.

--- a/core/withdrawal/withdrawal.go
+++ b/core/withdrawal/withdrawal.go
@@ -154,6 +154,7 @@
 		}
 		r.withdrawn = true
 	}
+	r.keepAtLeast(deadline)
 	switch {
 	case r.withdrawn:
 		return Withdrawn
@@ -183,11 +184,8 @@
 // is no room for it.
 func (t *Table) add(now time.Time, id string, deadline time.Time) *record {
 	t.removeOld(now)
-	keepUntil := deadline.Add(margin)
 	if r := t.records[id]; r != nil {
-		if keepUntil.After(r.keepUntil) {
-			r.keepUntil = keepUntil
-		}
+		r.keepAtLeast(deadline)
 		return r
 	}
 	if len(t.records) >= maxRecords {
@@ -196,12 +194,21 @@
 	if t.records == nil {
 		t.records = make(map[string]*record)
 	}
-	r := &record{id: id, keepUntil: keepUntil}
+	r := &record{id: id}
+	r.keepAtLeast(deadline)
 	t.records[id] = r
 	t.byTime = append(t.byTime, r)
 	return r
 }
 
+// keepAtLeast extends the time for which the record is kept to that of a request, or a
+// question, with the deadline.
+func (r *record) keepAtLeast(deadline time.Time) {
+	if until := deadline.Add(margin); until.After(r.keepUntil) {
+		r.keepUntil = until
+	}
+}
+
 // removeOld removes the oldest records whose time is over.
 func (t *Table) removeOld(now time.Time) {
 	for len(t.byTime) > 0 {
--- a/core/withdrawal/withdrawal_test.go
+++ b/core/withdrawal/withdrawal_test.go
@@ -66,6 +66,16 @@
 		a.End()
 		assertState(t, table.Withdraw(deadline, "r", deadline), withdrawal.Ended)
 	})
+	t.Run("a withdrawn request is refused until the later of two deadlines", func(t *testing.T) {
+		var table withdrawal.Table
+		a := arrive(t, &table, "r")
+		asked, later := deadline.Add(5*time.Second), deadline.Add(10*time.Second+time.Millisecond)
+		assertState(t, table.Withdraw(deadline, "r", asked), withdrawal.Withdrawn)
+		a.End()
+		if _, ok := table.Arrive(later, "r", asked); ok {
+			t.Fatal("a withdrawn request was accepted")
+		}
+	})
 	t.Run("a full table promises nothing about unknown requests", func(t *testing.T) {
 		var table withdrawal.Table
 		n := 0
