delta: the test of histories asks for deltas only from a node that is ahead

Cause: TestHistory, between nodes that skipped different documents, failed after 3,192 sequences on (rapid): the node that is asked has only the first document, the one that asks has it and a later one. The check compared the documents, not which is later. Change: deltas must be found whenever the node that is asked has a later document, as before.

--- a/core/delta/delta_test.go
+++ b/core/delta/delta_test.go
@@ -148,23 +148,24 @@
 	t.Run("between nodes that skipped different documents", rapid.MakeCheck(func(t *rapid.T) {
 		var theirs, ours delta.History
 		var has, wants []byte
+		hasVersion, wantsVersion := 0, 0
 		rows := []string{row(1)}
 		for i := range 12 {
 			rows = append(rows, row(100+i))
 			next := document(i, rows)
 			if i == 0 || rapid.Bool().Draw(t, "theirs") {
 				theirs.Add(wants, next)
-				wants = next
+				wants, wantsVersion = next, i
 			}
 			if i == 0 || i < 8 && rapid.Bool().Draw(t, "ours") {
 				ours.Add(has, next)
-				has = next
+				has, hasVersion = next, i
 			}
 		}
 		links, ok := theirs.Since(ours.Digests()...)
 		if !ok {
-			// The first document is common to both.
-			if len(ours.Digests()) < 8 && !bytes.Equal(has, wants) {
+			// The first document is common to both. A node that is not ahead has no deltas.
+			if len(ours.Digests()) < 8 && wantsVersion > hasVersion {
 				t.Fatalf("no document of %v is known", ours.Digests())
 			}
 			return
