delta: compare large documents without an index; keep large changes

The change to 2,093 routes was above the 64 KiB of a history, so nobody had deltas from the documents before it, and nodes read the next versions from the store as a whole (copyRead, then look), each with 0.3 to 0.9 s until it was in force. Comparing the documents appended text segment by segment: 115 MB of memory for 1,400 new rows. Change: documents that differ in a few rows are compared in step, text is copied once, and a history holds 512 KiB. The three cases of TestLargeDocuments but the first fail before.

--- a/core/delta/delta.go
+++ b/core/delta/delta.go
@@ -47,9 +47,13 @@
 	maxDocument = 8 << 20
 	// minRange is the length in bytes from which a range is shorter than its text.
 	minRange = 24
-	// maxLinks bounds the deltas of a history, and maxHistory their size in bytes.
+	// maxMisses is the number of new segments in a row from which the earlier document is
+	// searched for them.
+	maxMisses = 4
+	// maxLinks bounds the deltas of a history, and maxHistory their size in bytes. A
+	// thousand new routes are less than half of it.
 	maxLinks   = 64
-	maxHistory = 64 << 10
+	maxHistory = 512 << 10
 	// maxUndo bounds the earlier documents that a history can restore.
 	maxUndo = 8
 )
@@ -62,49 +66,103 @@
 
 // Between returns the delta from one document to another.
 func Between(before, after []byte) messages.Delta {
-	at := make(map[uint64]int)
-	for start := 0; start < len(before); {
-		end := segmentEnd(before, start)
-		hash := xxhash.Sum64(before[start:end])
-		if _, ok := at[hash]; !ok {
-			at[hash] = start
+	c := comparison{before: before, after: after}
+	c.run()
+	return messages.Delta{Before: Digest(before), After: Digest(after), Parts: c.parts}
+}
+
+// comparison compares two documents segment by segment.
+type comparison struct {
+	before, after []byte
+	parts         []messages.DeltaPart
+	// next is the offset in before at which the next segment is expected.
+	next int
+	// textStart and textEnd are the range of after that is not in a part yet.
+	textStart, textEnd int
+	// misses counts the segments in a row that were not found.
+	misses int
+	// starts holds the offsets of the segments of before by hash. It is built after
+	// maxMisses.
+	starts map[uint64]int
+}
+
+func (c *comparison) run() {
+	for start := 0; start < len(c.after); {
+		end := segmentEnd(c.after, start)
+		segment := c.after[start:end]
+		if at, ok := c.find(segment); ok && (c.continues(at) || len(segment) >= minRange) {
+			c.addRange(at, len(segment))
+			c.misses = 0
+		} else {
+			c.misses++
+			if c.textStart == c.textEnd {
+				c.textStart = start
+			}
+			c.textEnd = end
 		}
 		start = end
 	}
-	d := messages.Delta{Before: Digest(before), After: Digest(after)}
-	for start := 0; start < len(after); {
-		end := segmentEnd(after, start)
-		addSegment(&d, before, after[start:end], at)
-		start = end
-	}
-	return d
+	c.addText()
 }
 
-// addSegment appends a segment. It extends the last range if the segment follows it in the
-// earlier document.
-func addSegment(d *messages.Delta, before, segment []byte, at map[uint64]int) {
-	var last *messages.DeltaPart
-	if n := len(d.Parts); n > 0 {
-		last = &d.Parts[n-1]
+// find returns the offset of a segment in the earlier document. It tries the next segment
+// and the one behind it first, so that documents that differ in a few rows are compared
+// without an index.
+func (c *comparison) find(segment []byte) (int, bool) {
+	if bytes.HasPrefix(c.before[c.next:], segment) {
+		return c.next, true
 	}
-	if last != nil && last.Text == "" {
-		end := last.At + last.Length
-		if end+len(segment) <= len(before) && bytes.Equal(before[end:end+len(segment)], segment) {
-			last.Length += len(segment)
-			return
-		}
+	behind := segmentEnd(c.before, c.next)
+	if bytes.HasPrefix(c.before[behind:], segment) {
+		return behind, true
 	}
-	start, ok := at[xxhash.Sum64(segment)]
+	if c.misses < maxMisses {
+		return 0, false
+	}
+	if c.starts == nil {
+		c.index()
+	}
+	at, ok := c.starts[xxhash.Sum64(segment)]
 	// Different segments may have the same hash.
-	ok = ok && bytes.HasPrefix(before[start:], segment)
-	switch {
-	case ok && len(segment) >= minRange:
-		d.Parts = append(d.Parts, messages.DeltaPart{At: start, Length: len(segment)})
-	case last != nil && last.Text != "":
-		last.Text += string(segment)
-	default:
-		d.Parts = append(d.Parts, messages.DeltaPart{Text: string(segment)})
+	return at, ok && bytes.HasPrefix(c.before[at:], segment)
+}
+
+// index fills starts with the first offset of each segment.
+func (c *comparison) index() {
+	c.starts = make(map[uint64]int)
+	for start := 0; start < len(c.before); {
+		end := segmentEnd(c.before, start)
+		hash := xxhash.Sum64(c.before[start:end])
+		if _, ok := c.starts[hash]; !ok {
+			c.starts[hash] = start
+		}
+		start = end
+	}
+}
+
+// continues reports whether a range at an offset continues the last part.
+func (c *comparison) continues(at int) bool {
+	n := len(c.parts)
+	return n > 0 && c.textStart == c.textEnd && c.parts[n-1].At+c.parts[n-1].Length == at
+}
+
+// addRange appends a range of the earlier document, or extends the last one.
+func (c *comparison) addRange(at, length int) {
+	c.next = at + length
+	if c.continues(at) {
+		c.parts[len(c.parts)-1].Length += length
+		return
+	}
+	c.addText()
+	c.parts = append(c.parts, messages.DeltaPart{At: at, Length: length})
+}
+
+// addText appends the text that is not in a part yet.
+func (c *comparison) addText() {
+	if c.textStart < c.textEnd {
+		c.parts = append(c.parts, messages.DeltaPart{Text: string(c.after[c.textStart:c.textEnd])})
 	}
+	c.textStart, c.textEnd = 0, 0
 }
 
 // segmentEnd returns the end of the segment that starts at an offset.
--- a/core/delta/delta_test.go
+++ b/core/delta/delta_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -209,6 +210,50 @@
 	})
 }
 
+// A node has 0.16 to 0.8 of a processor for all its work.
+func TestLargeDocuments(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		before, more int
+	}{{"one more row", 2500, 1}, {"many more rows", 1100, 1400}} {
+		t.Run(c.name+" are compared with memory for a few documents", func(t *testing.T) {
+			const documents = 4
+			before, after := configuration(1, c.before), configuration(2, c.before+c.more)
+			var earlier, later runtime.MemStats
+			runtime.ReadMemStats(&earlier)
+			d := delta.Between(before, after)
+			runtime.ReadMemStats(&later)
+			assertApplies(t, d, before, after)
+			if n, limit := later.TotalAlloc-earlier.TotalAlloc, uint64(documents*len(after)); n > limit {
+				t.Fatalf("took %d bytes, want at most %d", n, limit)
+			}
+		})
+	}
+	t.Run("a change that makes the document large is kept, with those before and after it", func(t *testing.T) {
+		documents := [][]byte{configuration(1, 1100), configuration(2, 1101), configuration(3, 2700), configuration(4, 2701)}
+		var h delta.History
+		h.Add(nil, documents[0])
+		for i, next := range documents[1:] {
+			h.Add(documents[i], next)
+		}
+		for i, document := range documents[:3] {
+			deltas, ok := h.Since(delta.Digest(document))
+			if !ok {
+				t.Fatalf("no deltas from document %d", i)
+			}
+			for _, d := range deltas {
+				var err error
+				if document, err = delta.Apply(document, d); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !bytes.Equal(document, documents[3]) {
+				t.Fatalf("the deltas from document %d do not lead to the last one", i)
+			}
+		}
+	})
+}
+
 func FuzzApply(f *testing.F) {
 	f.Add([]byte(`[["a"],["b"]]`), 0, 5, "x")
 	f.Fuzz(func(t *testing.T, before []byte, at, length int, text string) {
