delta: small equal segments do not lead to an index

Cause: segments shorter than a range count as text and were counted as not found, and the next expected offset stayed behind them, so a single new row still led to an index of the whole document. The delta back to the earlier document computed both digests once more.

--- a/core/delta/delta.go
+++ b/core/delta/delta.go
@@ -66,9 +66,14 @@
 
 // Between returns the delta from one document to another.
 func Between(before, after []byte) messages.Delta {
+	return messages.Delta{Before: Digest(before), After: Digest(after), Parts: compare(before, after)}
+}
+
+// compare returns the parts of the delta from one document to another.
+func compare(before, after []byte) []messages.DeltaPart {
 	c := comparison{before: before, after: after}
 	c.run()
-	return messages.Delta{Before: Digest(before), After: Digest(after), Parts: c.parts}
+	return c.parts
 }
 
 // comparison compares two documents segment by segment.
@@ -90,21 +95,32 @@
 	for start := 0; start < len(c.after); {
 		end := segmentEnd(c.after, start)
 		segment := c.after[start:end]
-		if at, ok := c.find(segment); ok && (c.continues(at) || len(segment) >= minRange) {
+		at, ok := c.find(segment)
+		switch {
+		case ok && (c.continues(at) || len(segment) >= minRange):
+			c.misses = 0
 			c.addRange(at, len(segment))
+		case ok:
 			c.misses = 0
-		} else {
+			c.next = max(c.next, at+len(segment))
+			c.extendText(start, end)
+		default:
 			c.misses++
-			if c.textStart == c.textEnd {
-				c.textStart = start
-			}
-			c.textEnd = end
+			c.extendText(start, end)
 		}
 		start = end
 	}
 	c.addText()
 }
 
+// extendText adds a range of the later document to the text of the next part.
+func (c *comparison) extendText(start, end int) {
+	if c.textStart == c.textEnd {
+		c.textStart = start
+	}
+	c.textEnd = end
+}
+
 // find returns the offset of a segment in the earlier document. It tries the next segment
 // and the one behind it first, so that documents that differ in a few rows are compared
 // without an index.
@@ -249,7 +265,8 @@
 		h.size -= Size(h.links[0])
 		h.links = h.links[1:]
 	}
-	h.undo = append([]messages.Delta{Between(after, before)}, h.undo[:min(len(h.undo), maxUndo-1)]...)
+	undo := messages.Delta{Before: d.After, After: d.Before, Parts: compare(after, before)}
+	h.undo = append([]messages.Delta{undo}, h.undo[:min(len(h.undo), maxUndo-1)]...)
 }
 
 // Digests returns the digests of the present document and of those that Restore returns,
