members: nodes of a zone get changes from the node that passes on the announcement

Change: a watching node asks for the changes before it waits for its watch. A node that is asked while it fetches a later version itself answers when it has it, 150 ms later at most.

--- a/internal/mesh/announcements_test.go
+++ b/internal/mesh/announcements_test.go
@@ -183,17 +183,17 @@
 	f.eventually("the announcement was received after the failures", func() bool { return busy.announced(2) > failures })
 }
 
-// Guards against a zone without new versions while both nodes that watch for it are cut
-// off from the store alone.
-func TestWatchingNodesCutOff(t *testing.T) {
-	f := newFleet(t)
+// newZoneWithWatchers starts a fleet of two zones and returns the nodes of the first one that
+// watch the store and those that do not.
+func newZoneWithWatchers(t *testing.T) (f *fleet, watching, others []*member) {
+	t.Helper()
+	f = newFleet(t)
 	for _, zone := range []string{"a", "a", "a", "a", "a", "b", "b"} {
 		f.add(zone, "availability", 4).sendHeartbeat(t, "ready")
 	}
 	for _, m := range f.nodes {
 		f.eventually("all nodes are known", func() bool { return m.node.NodeCount() == len(f.nodes) })
 	}
-	var watching, others []*member
 	f.eventually("two nodes of the zone watch", func() bool {
 		watching, others = nil, nil
 		for _, m := range f.nodes {
@@ -206,6 +206,13 @@
 		}
 		return len(watching) == 2
 	})
+	return f, watching, others
+}
+
+// Guards against a zone without new versions while both nodes that watch for it are cut
+// off from the store alone.
+func TestWatchingNodesCutOff(t *testing.T) {
+	f, watching, others := newZoneWithWatchers(t)
 	// The periodic checks, which may read a copy, must not be needed.
 	f.store.SetCopyLag(time.Minute)
 	for _, m := range watching {
--- a/internal/mesh/deltas_test.go
+++ b/internal/mesh/deltas_test.go
@@ -60,6 +60,39 @@
 	}
 }
 
+// Guards against a zone whose nodes all ask the one node of another zone that has found a
+// version, since the node that passes the announcement on does not have it yet. Both nodes
+// that watch the store for the zone are cut off from it.
+func TestChangesStayInZone(t *testing.T) {
+	const (
+		versions = 4
+		gap      = time.Second
+	)
+	f, watching, others := newZoneWithWatchers(t)
+	// The periodic checks, which may read a copy, must not be needed.
+	f.store.SetCopyLag(time.Minute)
+	for _, m := range watching {
+		m.node.DisconnectStore()
+	}
+	asked := make([]int64, len(others))
+	for i, m := range others {
+		asked[i] = int64(m.lines.Totals()["changesAsked"])
+	}
+	for v := range versions {
+		prefix := fmt.Sprintf("/moved-%d/", v)
+		f.moveStock(2+v, prefix)
+		for _, m := range others {
+			f.waitServed(m, prefix+"1")
+		}
+		time.Sleep(gap)
+	}
+	for i, m := range others {
+		if n := int64(m.lines.Totals()["changesAsked"]) - asked[i]; n > versions {
+			t.Errorf("%s asked %d times for %d versions, want once each", m.cfg.Node, n, versions)
+		}
+	}
+}
+
 // Guards against a node that stays behind because the others no longer have the changes
 // since its version. It was cut off from all of them and reads the store in their place.
 func TestVersionWithoutChanges(t *testing.T) {
--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -82,6 +82,9 @@
 	// deltaTimeout bounds a request for the changes of a configuration, which are short.
 	// If it is not answered, the store is read instead.
 	deltaTimeout = 250 * time.Millisecond
+	// answerWait is the part of deltaTimeout for which a node that is asked waits for a
+	// version that it is fetching itself.
+	answerWait = 150 * time.Millisecond
 	// fetchTimeout is enough for a document of a megabyte over a link of 7 Mbit/s.
 	fetchTimeout = 1500 * time.Millisecond
 	// fetchAttempts bounds the attempts to fetch a version, since newer ones may be
@@ -185,8 +188,8 @@
 		m.checkReachable(q.Node)
 		return messages.Told{Version: int(m.versions.Version())}, nil
 	})
-	peer.Handle(mux, methodVersion, func(_ context.Context, q messages.VersionQuestion) (messages.VersionAnswer, error) {
-		return m.versions.Answer(uint64(max(q.Above, 0)), q.Digests), nil
+	peer.Handle(mux, methodVersion, func(ctx context.Context, q messages.VersionQuestion) (messages.VersionAnswer, error) {
+		return m.answerChanges(ctx, q), nil
 	})
 }
 
--- a/internal/mesh/members/sync.go
+++ b/internal/mesh/members/sync.go
@@ -146,21 +146,21 @@
 	m.wantedVersion = int(m.versions.Version())
 }
 
-// fetch fetches a version. A node that watches the store first waits until its watch should
-// have returned the version. Then the given nodes are asked for the changes, and the store is
-// read only if none has them and it is not down. If the version is still missing, the last
+// fetch fetches a version. The given nodes are asked for the changes first. A node that
+// watches the store then waits until its watch should have returned the version. The store is
+// read only if the version is still missing and the store is not down, and at last the last
 // node is asked for its document.
 func (m *Members) fetch(ctx context.Context, version int, from []messages.Entry) {
 	isMissing := func() bool { return uint64(version) > m.versions.Version() }
 	if m.versions.Version() > 0 {
-		if m.versions.IsWatching() && !m.versions.IsStoreDown() && !wait.For(ctx, ownWatchTime) {
-			return
-		}
 		for _, e := range from {
 			if isMissing() {
 				m.ask(ctx, e, version, deltaTimeout, true)
 			}
 		}
+		if isMissing() && m.versions.IsWatching() && !m.versions.IsStoreDown() && !wait.For(ctx, ownWatchTime) {
+			return
+		}
 		if isMissing() && !m.versions.IsStoreDown() {
 			if !wait.For(ctx, minRefreshInterval-m.versions.SinceRefresh()) || !isMissing() {
 				return
@@ -173,6 +173,20 @@
 	}
 }
 
+// answerChanges answers a question for the changes since a version. A node that is about to
+// have a later version, which it may have announced to the one that asks, waits for it.
+func (m *Members) answerChanges(ctx context.Context, q messages.VersionQuestion) messages.VersionAnswer {
+	above := max(q.Above, 0)
+	if len(q.Digests) > 0 {
+		wait.Until(ctx, answerWait, func() bool {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return m.wantedVersion <= above || m.versions.Version() > uint64(above)
+		})
+	}
+	return m.versions.Answer(uint64(above), q.Digests)
+}
+
 // ask requests a version from a node and applies what it sends: the changes since the
 // applied version if onlyChanges is set, and the document otherwise.
 func (m *Members) ask(ctx context.Context, e messages.Entry, version int, limit time.Duration, onlyChanges bool) {
