proxy: give a request up after one unanswered question only if another node can run it

Cause: an idempotent request was given up, and the server's work cut off, when the node did not answer one question in 300 ms, also if no retry could follow: the answer was 502. Change: a second question is asked first, unless another node is ready and the retry budget has a retry. Packages retrybudget and mesh pass.

--- a/core/retrybudget/budget.go
+++ b/core/retrybudget/budget.go
@@ -76,6 +76,16 @@
 // Take reports whether a request may be sent again, and if so counts it. The argument
 // nodes is the number of nodes that share the bound.
 func (b *Budget) Take(now time.Time, service string, nodes int) bool {
+	if !b.Has(now, service, nodes) {
+		return false
+	}
+	w := b.windowAt(now, service)
+	w.repeated[w.slot%slots]++
+	return true
+}
+
+// Has is like Take, but counts nothing.
+func (b *Budget) Has(now time.Time, service string, nodes int) bool {
 	w := b.windowAt(now, service)
 	first, repeated := 0, 0
 	for i := range slots {
@@ -83,11 +93,7 @@
 		repeated += w.repeated[i]
 	}
 	allowed := usableFraction * (b.bound.Ratio*float64(first) + b.bound.Slack/float64(max(nodes, 1)))
-	if float64(repeated+1) > allowed {
-		return false
-	}
-	w.repeated[w.slot%slots]++
-	return true
+	return float64(repeated+1) <= allowed
 }
 
 // windowAt returns the service's window, advanced to the slot of now.
--- a/core/retrybudget/budget_test.go
+++ b/core/retrybudget/budget_test.go
@@ -34,7 +34,12 @@
 			b := budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")]
 			b.RecordFirst(epoch.Add(now), "s")
 			events = append(events, event{now, false})
-			if b.Take(epoch.Add(now), "s", nodes) {
+			has := b.Has(epoch.Add(now), "s", nodes)
+			taken := b.Take(epoch.Add(now), "s", nodes)
+			if has != taken {
+				t.Fatalf("Has returned %v and Take %v", has, taken)
+			}
+			if taken {
 				events = append(events, event{now, true})
 			}
 		}
--- a/internal/mesh/proxy/inquiry.go
+++ b/internal/mesh/proxy/inquiry.go
@@ -21,6 +21,11 @@
 // before it is fetched over a new connection.
 const answerTransit = 100 * time.Millisecond
 
+// maxUnanswered is the number of questions in a row without an answer after which an
+// idempotent request is given up even if it cannot be sent elsewhere. A node that gets no
+// processor for a moment may not answer one.
+const maxUnanswered = 2
+
 // inquiry asks a node over new connections what became of a request that it does not
 // answer for an unusually long time. A kept connection may have gone silent although the
 // node runs.
@@ -28,7 +33,8 @@
 //   - A request that has not arrived is withdrawn, and can be sent elsewhere like one that
 //     was refused.
 //   - The answer of a request that has ended is fetched.
-//   - An idempotent request is given up if the node cannot be reached.
+//   - An idempotent request is given up if the node cannot be reached, at once if another
+//     one can run it.
 //   - Otherwise the inquiry waits and asks again.
 type inquiry struct {
 	p      *Proxy
@@ -37,6 +43,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	timer  *time.Timer
+	// canGoElsewhere reports whether the request can be sent to another node.
+	canGoElsewhere func() bool
+	// unanswered counts the questions in a row that were not answered.
+	unanswered int
 	// stopWithdrawal keeps withdraw from being called. A call for a request that runs on
 	// the local server is not withdrawn, since the request would fail.
 	stopWithdrawal func() bool
@@ -51,7 +61,7 @@
 // newInquiry starts an inquiry and returns it with the context for the request, which is
 // canceled when the inquiry has an outcome.
 func (p *Proxy) newInquiry(ctx context.Context, q *request, e messages.Entry) (*inquiry, context.Context) {
-	i := &inquiry{p: p, q: q, e: e}
+	i := &inquiry{p: p, q: q, e: e, canGoElsewhere: p.alternative(q, e)}
 	i.ctx, i.cancel = context.WithCancel(ctx)
 	i.timer = time.AfterFunc(p.probeDelay(e, q), i.run)
 	i.stopWithdrawal = func() bool { return true }
@@ -108,10 +118,13 @@
 	case i.ctx.Err() != nil || i.received.Load():
 		return true
 	case !ok:
-		if i.q.route.Kind == routes.Idempotent && !i.p.hasAnsweredSince(i.e, started) {
+		i.unanswered++
+		if i.q.route.Kind == routes.Idempotent && !i.p.hasAnsweredSince(i.e, started) &&
+			(i.unanswered >= maxUnanswered || i.canGoElsewhere()) {
 			i.cancel()
 			return true
 		}
+		return false
 	case state == withdrawal.Withdrawn:
 		i.logState(state)
 		i.end(pending.Answer{Result: hop.Result{Verdict: hop.NotRun, Rule: local.RuleWithdrawn}})
@@ -124,6 +137,7 @@
 		i.logState(state)
 		return i.fetch()
 	}
+	i.unanswered = 0
 	return false
 }
 
--- a/internal/mesh/proxy/offer.go
+++ b/internal/mesh/proxy/offer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -151,6 +152,22 @@
 	return p.budget.Take(time.Now(), q.service, nodes)
 }
 
+// alternative returns a function that reports whether a request that is sent to a node now
+// can later be sent to another one. It may be called while the request is changed.
+func (p *Proxy) alternative(q *request, e messages.Entry) func() bool {
+	service, tried, arrivals, maxServers := q.service, q.tried, q.arrivals+1, max(1, q.route.MaxServers)
+	return func() bool {
+		if arrivals >= maxServers {
+			return false
+		}
+		isOther := func(o messages.Entry) bool { return o.Node != e.Node && !slices.Contains(tried, o.Node) }
+		ready, nodes := p.members.Ready(service), p.members.Len()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return slices.ContainsFunc(ready, isOther) && p.budget.Has(time.Now(), service, nodes)
+	}
+}
+
 // recordRefusal keeps the shortest time after which a node that refused the request
 // expects a free slot.
 func recordRefusal(q *request, r hop.Result) {
--- a/internal/mesh/silent_test.go
+++ b/internal/mesh/silent_test.go
@@ -23,8 +23,10 @@
 	addr netip.AddrPort
 	// count is the number of connections that both sides keep open.
 	count atomic.Int64
-	mu    sync.Mutex
-	open  []*silencedConn
+	// isHeld keeps new connections waiting, as a node that gets no processor does.
+	isHeld atomic.Bool
+	mu     sync.Mutex
+	open   []*silencedConn
 }
 
 // silencedConn is one direction of a connection.
@@ -45,6 +47,9 @@
 	s := &silencer{}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.addr = testserver.Accept(t, func(from net.Conn) {
+		for s.isHeld.Load() && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
 		raw, err := net.Dial("tcp", target.String())
 		if err != nil {
 			return
@@ -156,6 +161,28 @@
 	})
 }
 
+// Guards against a request that is given up although a server works on it and no other one can
+// run it, since the node beside that server does not answer one question in time.
+func TestSlowNodeWithOnlyServer(t *testing.T) {
+	// One question is not answered in 300 ms, the next one is.
+	const heldFor, runTime = 500 * time.Millisecond, 800 * time.Millisecond
+	f := newFleet(t)
+	near, far := f.add("a", "bookings", 4), f.add("a", "availability", 4)
+	f.kill(far)
+	s := newSilencer(t, far.cfg.Listen.Call)
+	far.cfg.Announce.Call = &s.addr
+	f.start(far)
+	near.sendHeartbeat(t, "ready")
+	far.sendHeartbeat(t, "ready")
+	f.waitServed(near, "/stock/1")
+	far.server.SetRunTime(runTime)
+	s.isHeld.Store(true)
+	time.AfterFunc(heldFor, func() { s.isHeld.Store(false) })
+	a, err := f.callWith(context.Background(), near, http.MethodGet, "/stock/2", "", http.Header{"Request-Id": {"slow"}})
+	assertStatus(t, a, err, http.StatusOK)
+	assertRuns(t, far.server, "slow", 1)
+}
+
 // Guards against a request on an idle connection that a stopping node closes at the same
 // moment, so that it may or may not have run. A node that refuses because it is stopping gets
 // no more requests on connections that were opened before.
