pick: requests leave their zone only when its slots are in use

Cause: a request left its zone when the servers there used half of their slots. Change: the penalty for another zone is the score of nine tenths of the slots in use, not of half. The first new case of TestPick fails before.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -31,8 +31,9 @@
 	// loadTTL is the age at which a reported load no longer affects the score.
 	loadTTL = 1 * time.Second
 	// crossZonePenalty is the penalty for another zone. It equals the score of requests
-	// in half of a server's slots.
-	crossZonePenalty = 0.5
+	// in nine tenths of a server's slots, so that a request leaves its zone only when the
+	// slots there are in use.
+	crossZonePenalty = 0.9
 	// queuedWeight is the weight of a queued request, relative to a running one.
 	queuedWeight = 3
 	// latencyPenalty is the penalty for a usual running time equal to the time left,
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -48,6 +48,18 @@
 		answered(&p, near, pick.Load{Running: 5, Limit: 10})
 		assertPick(t, &p, begin, []messages.Entry{near, other}, request(), "other")
 	})
+	t.Run("a server of the zone with a free slot, though one of another zone is idle", func(t *testing.T) {
+		var p pick.Picker
+		answered(&p, near, pick.Load{Running: 9, Limit: 10})
+		answered(&p, far, pick.Load{Limit: 10})
+		assertPick(t, &p, begin, []messages.Entry{near, far}, request(), "near")
+	})
+	t.Run("another zone rather than a server that is too slow", func(t *testing.T) {
+		var p pick.Picker
+		answered(&p, near, pick.Load{Running: 9, Limit: 10, RunTime: time.Second})
+		answered(&p, far, pick.Load{Limit: 10})
+		assertPick(t, &p, begin, []messages.Entry{near, far}, request(), "far")
+	})
 	t.Run("another zone rather than a queue", func(t *testing.T) {
 		var p pick.Picker
 		answered(&p, near, pick.Load{Running: 10, Queued: 2, Limit: 10})
