--- a/internal/mesh/members/sync.go
+++ b/internal/mesh/members/sync.go
@@ -119,11 +119,12 @@
 
 // fetchIfNewer fetches a configuration if its version is newer than the applied one and
 // this node's own watch does not return it: the changes from one of the given nodes, which
-// have announced it, or else from the store, or else the document from the last node. Only one call at a time fetches: when all nodes answer a broadcast with a
-// higher version, a document from each of them would saturate the link for seconds.
-// The others rely on that call, so it ends only with the version, after fetchAttempts or
-// with the node. A version that was not found is not wanted any more, since it may not
-// exist.
+// have announced it, or else from the store, or else the document from the last node.
+//
+// Only one call at a time fetches: when all nodes answer a broadcast with a higher version,
+// a document from each of them would saturate the link for seconds. The others rely on that
+// call, so it ends only with the version, after fetchAttempts or with the node. A version
+// that was not found is not wanted any more, since it may not exist.
 func (m *Members) fetchIfNewer(version int, from ...messages.Entry) {
 	if uint64(max(version, 0)) <= m.versions.Version() {
 		return
