review: case 4, a node runs out of descriptors by idle connections

Cause: the operator's idle_timeout_ms and header_timeout_ms are decoded and not applied. Idle connections of callers stay open for two minutes.

Change: a script in which clients leave their connections open.

Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE DIR")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*world) (bool, error){"link": linkCase, "memory": memoryCase, "leave": leaveCase}
+	cases := map[string]func(*world) (bool, error){"memory": memoryCase, "leave": leaveCase, "connections": connectionsCase, "link": linkCase}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
