--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -53,7 +53,7 @@
 	}
 	o := outcome{kept: c.used}
 	_ = c.conn.SetDeadline(end)
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n", method, path, host, id, deadline.Milliseconds())
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, path, host, names.RequestID, id, names.TimeLeft, deadline.Milliseconds())
 	if method != http.MethodGet {
 		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
 	}
@@ -66,7 +66,7 @@
 		answer, err = http.ReadResponse(c.in, &http.Request{Method: method})
 	}
 	if err == nil {
-		o.status, o.signed = answer.StatusCode, answer.Header.Get("Response-Signature") != ""
+		o.status, o.signed = answer.StatusCode, answer.Header.Get(names.Signature) != ""
 		var text []byte
 		text, err = io.ReadAll(answer.Body)
 		answer.Body.Close()
--- a/review/standin/connections.go
+++ b/review/standin/connections.go
@@ -81,7 +81,7 @@
 			if err == nil {
 				_ = conn.SetDeadline(t.at.Add(1200 * time.Millisecond))
 				var answer *http.Response
-				fmt.Fprintf(conn, "GET /tours/%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 1200\r\n\r\n", id, host, id)
+				fmt.Fprintf(conn, "GET /tours/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 1200\r\n\r\n", id, host, names.RequestID, id, names.TimeLeft)
 				if answer, err = http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
 					t.taken = true
 					answer.Body.Close()
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -55,8 +55,8 @@
 
 // ServeHTTP runs a request.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
+	id := r.Header.Get(names.RequestID)
+	w.Header().Set(names.RequestID, id)
 	w.Header().Set("Keep-Alive", "timeout=10")
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", s.id)
@@ -67,7 +67,7 @@
 		}
 		return
 	}
-	if e := r.Header.Get("Expected-Instance"); e != "" && e != s.id {
+	if e := r.Header.Get(names.Instance); e != "" && e != s.id {
 		w.Header().Set("Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -78,7 +78,7 @@
 	s.mu.Lock()
 	if s.running >= 2*s.slots {
 		s.mu.Unlock()
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -94,7 +94,7 @@
 	if onArrival != nil {
 		onArrival(id, time.Now())
 	}
-	deadline, _ := strconv.Atoi(r.Header.Get("Deadline-Ms"))
+	deadline, _ := strconv.Atoi(r.Header.Get(names.TimeLeft))
 	timeout := time.After(time.Duration(deadline) * time.Millisecond)
 	status := http.StatusOK
 	select {
@@ -107,7 +107,7 @@
 	if leaving {
 		w.Header().Set("Connection", "close")
 	}
-	w.Header().Set("Response-Signature", "signed by "+s.id)
+	w.Header().Set(names.Signature, "signed by "+s.id)
 	w.WriteHeader(status)
 	fmt.Fprintf(w, "done %s", id)
 }
@@ -119,7 +119,7 @@
 	s.sequence++
 	body, _ := json.Marshal(map[string]any{
 		"service": s.service, "address": fmt.Sprintf("%s:%d", s.node.ip, portServer), "zone": s.zone, "version": "v1",
-		"slots": s.slots, "state": state, "cold_ms": 0, "seq": s.sequence, "born": s.born.UnixMilli(),
+		"slots": s.slots, "state": state, names.WarmUp: 0, "seq": s.sequence, "born": s.born.UnixMilli(),
 	})
 	return body
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -181,7 +181,7 @@
 			items = append(items, o.body())
 		}
 	}
-	reply(w, map[string]any{"items": items, "has_more": false, "current_rev": s.revision})
+	reply(w, map[string]any{"items": items, names.More: false, names.Revision: s.revision})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string, since uint64) {
@@ -202,7 +202,7 @@
 			hang(r)
 		}
 		if len(events) > 0 {
-			reply(w, map[string]any{"events": events, "current_rev": revision})
+			reply(w, map[string]any{"events": events, names.Revision: revision})
 			return
 		}
 		select {
@@ -210,7 +210,7 @@
 		case <-r.Context().Done():
 			return
 		case <-timer.C:
-			reply(w, map[string]any{"events": events, "current_rev": revision})
+			reply(w, map[string]any{"events": events, names.Revision: revision})
 			return
 		}
 	}
@@ -247,7 +247,7 @@
 	spec, _ := json.Marshal(map[string]any{
 		"version": version,
 		"routes": map[string]any{
-			"columns": []string{"name", "host", "path_prefix", "kind", "timeout_ms", "target_latency_ms", "priority", "service", "max_attempts", "backends"},
+			"columns": []string{"name", "host", names.Prefix, "kind", "timeout_ms", names.Target, "priority", "service", names.MaxServers, "backends"},
 			"rows":    rows,
 		},
 		"services": map[string]any{"columns": []string{"name", "health_path", "max_connections", "protocol", "tls"}, "rows": services},
