--- a/review/standin/connections.go
+++ b/review/standin/connections.go
@@ -21,10 +21,10 @@
 	// crowdTime are the dose of a burst, crowds is their number and crowdGap the pause
 	// between them.
 	usersPerSecond = 32
-	crowdFactor    = 2.6
-	crowdTime      = 5500 * time.Millisecond
-	crowds         = 5
-	crowdGap       = 5 * time.Second
+	crowdFactor    = 1.9
+	crowdTime      = 3000 * time.Millisecond
+	crowds         = 18
+	crowdGap       = 2 * time.Second
 	connectionTime = 100 * time.Second
 	// minTrying is the number of clients that must have tried in vain.
 	minTrying = 7
