mesh: say at which stage of a request its sender has left

Package sender asks the socket of a request whether its sender has left, without reading from it. Log lines senderLeft and the counter senders_left_total have the stage: unread, waiting or sent.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -1,6 +1,6 @@
 // Package httpserver is an HTTP server on top of go-zero's rest. It does without
 // rest's middlewares and signal handling, which would refuse, change or cut off
-// requests.
+// requests. The contexts of requests have their connections; see [sender.Of].
 //
 // # Use
 //
@@ -24,6 +24,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavenderdeal/internal/gozero"
+	"lavenderdeal/internal/sender"
 )
 
 const (
@@ -98,6 +99,7 @@
 			srv.ReadHeaderTimeout = headerTimeout
 			srv.IdleTimeout = idleTimeout
 			srv.MaxHeaderBytes = maxHeaderBytes
+			srv.ConnContext = sender.WithConn
 			for _, opt := range opts {
 				opt(srv)
 			}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -257,6 +257,7 @@
 	n.meter.Gauge("body_bytes", "bytes", "memory of the bodies of requests beyond 64 KiB each", func() float64 { return float64(n.proxy.BodyBytes()) })
 	n.meter.Gauge("version", "versions", "version of the configuration in force", func() float64 { return float64(n.versions.Version()) })
 	n.meter.Gauge("nodes", "nodes", "known nodes, this one included", func() float64 { return float64(n.members.Len()) })
+	n.meter.Counters("senders_left_total", "stage", "requests whose caller or forwarding node has left before the answer", n.proxy.SendersLeft)
 	n.meter.Counters("log_lines_total", "kind", "decisions by kind, logged or not", n.log.Totals)
 }
 
--- a/internal/mesh/proxy/inbound.go
+++ b/internal/mesh/proxy/inbound.go
@@ -79,11 +79,13 @@
 			return
 		}
 	}
+	node := p.newPresence(r.Context(), platform.ReadRequest(r.Header).ID, arrived)
 	elapsed := time.Since(arrived)
 	c.TimeLeft, c.Target = c.TimeLeft-elapsed, c.Target-elapsed
 	result, answer := p.local.Run(call.Context(), c, &http1.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: forwardedHeader(r.Header), Body: content,
 	}, local.WithStart(call.Start))
+	node.record(true, result.ReachedServer)
 	p.logHop(r, c, result)
 	call.Keep(pending.Answer{Result: result, Response: answer})
 	p.writeHopAnswer(w, platform.ReadRequest(r.Header).ID, result, answer)
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -139,6 +139,8 @@
 	inFlight atomic.Int64
 	meter    *meter.Meter
 	prober   *probe.Prober
+	// departures counts the requests whose sender has left.
+	departures departures
 
 	mu     sync.Mutex
 	picker pick.Picker
@@ -315,7 +317,9 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	defer context.AfterFunc(p.running, cancel)()
+	caller := p.newPresence(r.Context(), q.id, started)
 	o := p.run(ctx, q)
+	caller.record(false, q.arrivals > 0)
 	if o.answer != nil {
 		p.writeAnswer(w, q, o)
 		return
--- a/internal/mesh/silent_body_test.go
+++ b/internal/mesh/silent_body_test.go
@@ -91,6 +91,17 @@
 
 // metric returns the value of a gauge of a node.
 func metric(t testing.TB, addr netip.AddrPort, name string) string {
+	t.Helper()
+	value, ok := findMetric(t, addr, name)
+	if !ok {
+		t.Fatalf("no metric %s", name)
+	}
+	return value
+}
+
+// findMetric returns the value of a metric of a node, or false if it has none. The name may
+// have labels.
+func findMetric(t testing.TB, addr netip.AddrPort, name string) (string, bool) {
 	t.Helper()
 	raw, err := http.Get("http://" + addr.String())
 	if err != nil {
@@ -100,11 +111,10 @@
 	lines := bufio.NewScanner(raw.Body)
 	for lines.Scan() {
 		if value, ok := strings.CutPrefix(lines.Text(), "lavenderdeal_"+name+" "); ok {
-			return value
+			return value, true
 		}
 	}
-	t.Fatalf("no metric %s", name)
-	return ""
+	return "", false
 }
 
 // Guards against uploads that are refused for good, since nodes that have gone silent hold
