mesh: a request whose sender has left is not sent to a server

Cause: net/http notices the end of a connection only by a background read that starts with the handler, or when the body has been read. A node that read a request late, together with the end of its connection, had sent it on before that read ran, and the next node did the same.

Change: the node asks the socket before it offers a request, when it has read a forwarded one, and again just before a request goes to the server.

--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -341,17 +341,23 @@
 type RunOption func(*runOptions)
 
 type runOptions struct {
-	start func() bool
+	start   func() bool
+	hasLeft func() bool
 }
 
 // WithStart calls fn just before the request is sent to the server. If fn returns false,
 // the request is refused as withdrawn.
 func WithStart(fn func() bool) RunOption { return func(o *runOptions) { o.start = fn } }
 
+// WithSender sets a function that reports whether the sender of the request has left. It is
+// called just before the request is sent to the server, and a request whose sender has left
+// is refused.
+func WithSender(hasLeft func() bool) RunOption { return func(o *runOptions) { o.hasLeft = hasLeft } }
+
 // Run waits for a slot and runs a request on the server. The response is nil unless
 // the verdict is [hop.Ran].
 func (s *Server) Run(ctx context.Context, c hop.Call, r *http1.Request, opts ...RunOption) (hop.Result, *http1.Response) {
-	o := runOptions{start: func() bool { return true }}
+	o := runOptions{start: func() bool { return true }, hasLeft: func() bool { return false }}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -369,7 +375,7 @@
 	}
 	waited := time.Since(started)
 	s.monitor.Begin(id, monitored)
-	result, answer := s.exchange(ctx, c, r, instance, deadline, o.start)
+	result, answer := s.exchange(ctx, c, r, instance, deadline, o)
 	switch {
 	case result.Rule == RuleConnectionBroken:
 		s.monitor.ConnectionBroken(id)
@@ -430,8 +436,8 @@
 
 // exchange sends the request to the server and determines from the answer whether the
 // request ran.
-func (s *Server) exchange(ctx context.Context, c hop.Call, r *http1.Request, instance string, deadline time.Time, start func() bool) (hop.Result, *http1.Response) {
-	if ctx.Err() != nil {
+func (s *Server) exchange(ctx context.Context, c hop.Call, r *http1.Request, instance string, deadline time.Time, o runOptions) (hop.Result, *http1.Response) {
+	if ctx.Err() != nil || o.hasLeft() {
 		return *notRun(RuleCallerLeft, 0), nil
 	}
 	left := time.Until(deadline)
@@ -453,7 +459,7 @@
 		s.mu.Unlock()
 		return *notRun(gate.RuleClosed, 0), nil
 	}
-	if !start() {
+	if !o.start() {
 		s.mu.Unlock()
 		return *notRun(RuleWithdrawn, 0), nil
 	}
--- a/internal/mesh/proxy/inbound.go
+++ b/internal/mesh/proxy/inbound.go
@@ -84,7 +84,7 @@
 	c.TimeLeft, c.Target = c.TimeLeft-elapsed, c.Target-elapsed
 	result, answer := p.local.Run(call.Context(), c, &http1.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: forwardedHeader(r.Header), Body: content,
-	}, local.WithStart(call.Start))
+	}, local.WithStart(call.Start), local.WithSender(node.hasLeft))
 	node.record(true, result.ReachedServer)
 	p.logHop(r, c, result)
 	call.Keep(pending.Answer{Result: result, Response: answer})
--- a/internal/mesh/proxy/left.go
+++ b/internal/mesh/proxy/left.go
@@ -63,6 +63,10 @@
 	return &presence{p: p, ctx: ctx, conn: conn, id: id, started: started, unread: conn.HasLeft()}
 }
 
+// hasLeft returns true if the sender does not wait any more. Unlike the context, it also
+// knows that before the server has noticed it.
+func (s *presence) hasLeft() bool { return s.unread || s.ctx.Err() != nil || s.conn.HasLeft() }
+
 // record counts and logs the request if its sender has left. The flag forwarded is set for a
 // request of another node, and sent if it may have reached a server.
 func (s *presence) record(forwarded, sent bool) {
--- a/internal/mesh/proxy/offer.go
+++ b/internal/mesh/proxy/offer.go
@@ -26,7 +26,9 @@
 	var last outcome
 	for q.offers < maxOffers {
 		now := time.Now()
-		if ctx.Err() != nil || q.deadline.Sub(now) < minTimeLeft {
+		// The presence of the caller was checked when the request was read.
+		left := q.caller.unread || q.offers > 0 && q.caller.hasLeft()
+		if ctx.Err() != nil || left || q.deadline.Sub(now) < minTimeLeft {
 			return deadlineExceeded(q, last)
 		}
 		if p.withdrawing.Err() != nil && !q.inner {
@@ -245,7 +247,7 @@
 // what became of the request.
 func (p *Proxy) send(ctx context.Context, q *request, e messages.Entry, c hop.Call) (hop.Result, *http1.Response, error) {
 	if e.Node == p.self.Node {
-		result, answer := p.local.Run(ctx, c, q.http)
+		result, answer := p.local.Run(ctx, c, q.http, local.WithSender(q.caller.hasLeft))
 		return result, answer, nil
 	}
 	forwarded := *q.http
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -248,6 +248,8 @@
 	started  time.Time
 	deadline time.Time
 	http     *http1.Request
+	// caller tells whether the caller still waits.
+	caller *presence
 	// body is the reader of the body, or nil if there is none.
 	body *body.Reader
 	// version is the version of the configuration that the request was routed by.
@@ -317,15 +319,15 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	defer context.AfterFunc(p.running, cancel)()
-	caller := p.newPresence(r.Context(), q.id, started)
+	q.caller = p.newPresence(r.Context(), q.id, started)
 	o := p.run(ctx, q)
-	caller.record(false, q.arrivals > 0)
+	q.caller.record(false, q.arrivals > 0)
 	if o.answer != nil {
 		p.writeAnswer(w, q, o)
 		return
 	}
 	switch {
-	case r.Context().Err() != nil:
+	case q.caller.hasLeft():
 		o.rule = local.RuleCallerLeft
 	case p.running.Err() != nil:
 		o.rule = ruleStopping
