http1: a request whose context has ended is not sent

Cause: a request whose context ended before its connection was taken from the pool, or while one was opened, was written all the same: closing the connection raced with the write.

Change: the context is checked before a connection is taken and after one was opened.

Result: TestContextEndedBeforeSend failed before (the first of 200 requests had been sent) and passes.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -283,6 +283,9 @@
 	if err := r.validate(); err != nil {
 		return nil, &Error{cause: err}
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, &Error{cause: err}
+	}
 	c, err := p.get(ctx, to, r)
 	if err != nil {
 		return nil, &Error{cause: errors.Wrap(err, "connect")}
@@ -501,6 +504,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := ctx.Err(); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
 	bound := &boundedReader{conn: raw}
 	c := &conn{Conn: raw, bound: bound, reader: bufio.NewReaderSize(bound, bufferSize)}
 	if tcp, ok := raw.(*net.TCPConn); ok {
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -471,6 +471,36 @@
 	}
 }
 
+// Guards against a request that is sent although its context ended while a connection was
+// opened or taken from the pool (GONE).
+func TestContextEndedBeforeSend(t *testing.T) {
+	const requests = 200
+	var runs atomic.Int64
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for id := readRequest(r); id != ""; id = readRequest(r) {
+			if id == "late" {
+				runs.Add(1)
+			}
+			writeAnswer(c, id, id)
+		}
+	})
+	p := newPool(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range requests {
+		a, err := do(t, p, addr, request("idle"))
+		assertBody(t, a, err, "idle")
+		_, err = p.Do(ctx, addr, request("late"))
+		assertSent(t, err, false)
+	}
+	if n := runs.Load(); n != 0 {
+		t.Fatalf("the server got %d of %d requests, want none", n, requests)
+	}
+	if n := p.Dials(); n != 1 {
+		t.Fatalf("%d connections, want 1", n)
+	}
+}
+
 func TestFailures(t *testing.T) {
 	t.Run("connection refused", func(t *testing.T) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
