mesh: the sender of a request is checked once at each node

The check of the sender was made up to three times a node. Now it is made when a node is about to send the request on, to another node or to the server, and the stage is called unnoticed.

Result: TestCallerLeftBeforeRead 0 of 120 with -cpu 1 and 8.

--- a/internal/mesh/gone_test.go
+++ b/internal/mesh/gone_test.go
@@ -63,7 +63,7 @@
 	t.Helper()
 	total := 0
 	for _, m := range f.nodes {
-		for _, stage := range []string{"unread", "waiting", "sent"} {
+		for _, stage := range []string{"unnoticed", "waiting", "sent"} {
 			if text, ok := findMetric(t, m.cfg.Listen.Metrics, fmt.Sprintf("senders_left_total{stage=%q}", stage)); ok {
 				n, err := strconv.Atoi(text)
 				if err != nil {
--- a/internal/mesh/proxy/left.go
+++ b/internal/mesh/proxy/left.go
@@ -13,8 +13,9 @@
 
 // The stages of a request at which its sender has left.
 const (
-	// leftUnread means that the end of the connection had arrived when the request was read.
-	leftUnread = "unread"
+	// leftUnnoticed means that the end of the connection had arrived when the request was about
+	// to be sent on, but the HTTP server had not noticed it.
+	leftUnnoticed = "unnoticed"
 	// leftWaiting means that the request had not been sent to a server.
 	leftWaiting = "waiting"
 	// leftSent means that the request had been sent to a server.
@@ -52,28 +53,33 @@
 	conn    *sender.Conn
 	id      string
 	started time.Time
-	// unread is set if the sender had left when the request was read.
-	unread bool
+	// unnoticed is set once hasLeft knew more than the context.
+	unnoticed bool
 }
 
-// newPresence returns the presence of the sender of a request that was read just now. The
-// context is that of the request, and started when its head was read.
+// newPresence returns the presence of the sender of a request. The context is that of the
+// request, and started when its head was read.
 func (p *Proxy) newPresence(ctx context.Context, id string, started time.Time) *presence {
-	conn := sender.Of(ctx)
-	return &presence{p: p, ctx: ctx, conn: conn, id: id, started: started, unread: conn.HasLeft()}
+	return &presence{p: p, ctx: ctx, conn: sender.Of(ctx), id: id, started: started}
 }
 
-// hasLeft returns true if the sender does not wait any more. Unlike the context, it also
-// knows that before the server has noticed it.
-func (s *presence) hasLeft() bool { return s.unread || s.ctx.Err() != nil || s.conn.HasLeft() }
+// hasLeft returns true if the sender does not wait any more. Unlike the context, it knows that
+// before the HTTP server has noticed it. It is not safe for concurrent use.
+func (s *presence) hasLeft() bool {
+	if s.unnoticed || s.ctx.Err() != nil {
+		return true
+	}
+	s.unnoticed = s.conn.HasLeft()
+	return s.unnoticed
+}
 
 // record counts and logs the request if its sender has left. The flag forwarded is set for a
 // request of another node, and sent if it may have reached a server.
 func (s *presence) record(forwarded, sent bool) {
 	stage := leftWaiting
 	switch {
-	case s.unread:
-		stage = leftUnread
+	case s.unnoticed:
+		stage = leftUnnoticed
 	case s.ctx.Err() == nil:
 		return
 	case sent:
--- a/internal/mesh/proxy/offer.go
+++ b/internal/mesh/proxy/offer.go
@@ -26,9 +26,7 @@
 	var last outcome
 	for q.offers < maxOffers {
 		now := time.Now()
-		// The presence of the caller was checked when the request was read.
-		left := q.caller.unread || q.offers > 0 && q.caller.hasLeft()
-		if ctx.Err() != nil || left || q.deadline.Sub(now) < minTimeLeft {
+		if ctx.Err() != nil || q.deadline.Sub(now) < minTimeLeft {
 			return deadlineExceeded(q, last)
 		}
 		if p.withdrawing.Err() != nil && !q.inner {
@@ -50,6 +48,9 @@
 			break
 		}
 		e := choice.Entry
+		if e.Node != p.self.Node && q.caller.hasLeft() {
+			return deadlineExceeded(q, last)
+		}
 		q.offers++
 		allowLate := q.inner || choice.NoAlternative || q.offers >= maxPromptOffers
 		result, answer := p.offer(ctx, q, e, allowLate)
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -327,7 +327,7 @@
 		return
 	}
 	switch {
-	case q.caller.hasLeft():
+	case r.Context().Err() != nil, q.caller.unnoticed:
 		o.rule = local.RuleCallerLeft
 	case p.running.Err() != nil:
 		o.rule = ruleStopping
