calls: a call whose caller has left is not sent

Change: the caller's node asks the socket before each attempt, the server's node just before the call goes to the server; both refuse it as callerGone, as they did once its context had ended.

--- a/internal/calls/attempt.go
+++ b/internal/calls/attempt.go
@@ -9,6 +9,7 @@
 
 	"lavenderdeal/core/retry"
 	"lavenderdeal/core/verdict"
+	"lavenderdeal/internal/sender"
 	"lavenderdeal/schema/messages"
 )
 
@@ -28,6 +29,9 @@
 	var tried []string
 	var failed error
 	for {
+		if sender.Of(ctx).HasLeft() {
+			return nil, worse(failed, callerGone())
+		}
 		answer, id, err := e.sendOnce(ctx, call, r, body(), tried)
 		if err == nil {
 			return answer, nil
--- a/internal/calls/keyed.go
+++ b/internal/calls/keyed.go
@@ -18,6 +18,7 @@
 	"lavenderdeal/core/limit"
 	"lavenderdeal/core/verdict"
 	"lavenderdeal/internal/homes"
+	"lavenderdeal/internal/sender"
 	"lavenderdeal/internal/wait"
 	"lavenderdeal/io/caller"
 	"lavenderdeal/schema/messages"
@@ -40,6 +41,9 @@
 	}
 	key := home.ParseKey(call.Customer, call.Key)
 	for {
+		if sender.Of(ctx).HasLeft() {
+			return nil, callerGone()
+		}
 		tracked := &trackedBody{Reader: body()}
 		reader := tracked.Reader
 		if !replayable {
--- a/internal/calls/runner.go
+++ b/internal/calls/runner.go
@@ -21,6 +21,7 @@
 	"lavenderdeal/internal/keyrecords"
 	"lavenderdeal/internal/metrics"
 	"lavenderdeal/internal/secret"
+	"lavenderdeal/internal/sender"
 	"lavenderdeal/io/caller"
 	"lavenderdeal/io/peercall"
 	"lavenderdeal/io/server"
@@ -188,8 +189,8 @@
 		}
 	}()
 	// The process may have been suspended since the context was last checked.
-	if ctx.Err() != nil {
-		return nil, verdict.Refuse("callerGone", "the caller left or its deadline passed before the call was sent to the backend server")
+	if ctx.Err() != nil || sender.Of(ctx).HasLeft() {
+		return nil, callerGone()
 	}
 	if err := r.beginCall(slot, monitored); err != nil {
 		return nil, err
@@ -211,6 +212,11 @@
 	return answer, nil
 }
 
+// callerGone refuses a call that nobody waits for.
+func callerGone() error {
+	return verdict.Refuse("callerGone", "the caller left or its deadline passed before the call was sent to the backend server")
+}
+
 // chainHeader returns the signed chain that the backend server must send with the
 // calls that it makes on behalf of this one.
 func (r *Runner) chainHeader(ctx context.Context, call messages.Call) string {
--- a/internal/mesh/gone_test.go
+++ b/internal/mesh/gone_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -10,36 +9,10 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"lavenderdeal/internal/standin/testserver"
 	"lavenderdeal/io/hop"
 )
 
-// sendAndLeave sends a request over a new connection and closes it. The last packet of the
-// request closes the connection, so that a node cannot read the one without the other.
-func sendAndLeave(t *testing.T, to netip.AddrPort, request string) {
-	t.Helper()
-	conn, err := net.Dial("tcp", to.String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	raw, err := conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	var optErr error
-	err = raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_CORK, 1)
-	})
-	if err != nil || optErr != nil {
-		t.Fatal(err, optErr)
-	}
-	if _, err := conn.Write([]byte(request)); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // requestOf formats a request. The body is sent in chunks if chunked is set.
 func requestOf(method, uri string, h http.Header, body string, chunked bool) string {
 	var b strings.Builder
@@ -111,7 +84,7 @@
 				assertStatus(t, a, err, http.StatusOK)
 				before := sendersLeft(t, f)
 				id := fmt.Sprintf("%s %d", c.name, i)
-				sendAndLeave(t, c.to, requestOf(c.method, c.path, c.header(id), c.body, c.chunked))
+				testserver.SendAndLeave(t, c.to, requestOf(c.method, c.path, c.header(id), c.body, c.chunked))
 				f.eventually("a node has noticed that the sender has left", func() bool { return sendersLeft(t, f) > before })
 			}
 			for _, m := range f.nodes {
--- a/internal/standin/testserver/testserver.go
+++ b/internal/standin/testserver/testserver.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"lavenderdeal/internal/httpserver"
 )
@@ -61,3 +62,29 @@
 	})
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
+
+// SendAndLeave opens a connection, writes the text of a request and closes the connection. The
+// last packet of the request ends the connection, so that the other side cannot read the one
+// without the other. It ends the test with Fatal if that fails.
+func SendAndLeave(t testing.TB, to netip.AddrPort, request string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", to.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var optErr error
+	err = raw.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_CORK, 1)
+	})
+	if err != nil || optErr != nil {
+		t.Fatal(err, optErr)
+	}
+	if _, err := conn.Write([]byte(request)); err != nil {
+		t.Fatal(err)
+	}
+}
