mesh: calls for a request that was given up are refused

Cause: a server that does not notice the end of its connection goes on. Its node forgot the request when it gave it up, so it took the server's further calls for requests of their own.

Change: the node keeps the IDs of requests that were given up while they ran until their deadlines (core/abandoned) and refuses calls for them at once, as not run.

--- a/internal/mesh/gone_test.go
+++ b/internal/mesh/gone_test.go
@@ -1,7 +1,10 @@
 package mesh_test
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -102,3 +105,113 @@
 		})
 	}
 }
+
+// open sends a request over a new connection, which is closed at the end of the test at the
+// latest.
+func open(t *testing.T, to netip.AddrPort, request string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", to.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if _, err := io.WriteString(conn, request); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// Guards against a server that works on for a caller that leaves while its request runs or
+// waits (GONE), with bodies of each framing, through one node and through two.
+func TestCallerLeavesInEachState(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	f, _, far := newPair(t)
+	running, ended := make(chan string, 10), make(chan string, 10)
+	far.server.SetAnswer(func(_ http.ResponseWriter, r *http.Request) bool {
+		running <- r.Header.Get("Request-Id")
+		<-r.Context().Done()
+		ended <- r.Header.Get("Request-Id")
+		panic(http.ErrAbortHandler)
+	})
+	await := func(t *testing.T, what string, from chan string, id string) {
+		t.Helper()
+		select {
+		case got := <-from:
+			if got != id {
+				t.Fatalf("%s: got %s, want %s", what, got, id)
+			}
+		case <-time.After(limit):
+			t.Fatalf("%s: not within %s", what, limit)
+		}
+	}
+	header := func(id string) http.Header { return http.Header{"Request-Id": {id}, "Deadline-Ms": {"900"}} }
+	for name, c := range map[string]struct {
+		method, body string
+		chunked      bool
+	}{
+		"no body":            {http.MethodGet, "", false},
+		"a short body":       {http.MethodPost, "short", false},
+		"a body in chunks":   {http.MethodPost, strings.Repeat("x", 8<<10), true},
+		"a long body":        {http.MethodPost, strings.Repeat("x", uploadBytes), false},
+		"a long one, chunks": {http.MethodPost, strings.Repeat("x", uploadBytes), true},
+	} {
+		t.Run("running, "+name, func(t *testing.T) {
+			for i, m := range f.nodes {
+				id := fmt.Sprintf("%s %d", name, i)
+				conn := open(t, m.cfg.Listen.Caller, requestOf(c.method, "/stock/1", header(id), c.body, c.chunked))
+				await(t, "the server runs the request", running, id)
+				_ = conn.Close()
+				await(t, "the server's work has ended", ended, id)
+			}
+		})
+	}
+	t.Run("waiting", func(t *testing.T) {
+		for i, m := range f.nodes {
+			conns := make([]net.Conn, 0, far.server.Slots)
+			for n := range far.server.Slots {
+				id := fmt.Sprintf("slot %d of %d", n, i)
+				conns = append(conns, open(t, m.cfg.Listen.Caller, requestOf(http.MethodGet, "/stock/1", header(id), "", false)))
+				await(t, "the server runs the request", running, id)
+			}
+			waiting := open(t, m.cfg.Listen.Caller, requestOf(http.MethodGet, "/stock/1", header("waiting"), "", false))
+			f.eventually("the request waits", func() bool { return metric(t, far.cfg.Listen.Metrics, "server_queued") == "1" })
+			_ = waiting.Close()
+			f.eventually("the request waits no more", func() bool { return metric(t, far.cfg.Listen.Metrics, "server_queued") == "0" })
+			for _, conn := range conns {
+				_ = conn.Close()
+				<-ended
+			}
+		}
+		assertRuns(t, far.server, "waiting", 0)
+	})
+}
+
+// Guards against calls that a server makes for a request whose caller has left (GONE): it has
+// not noticed the end of its connection, and its node would run them like any others.
+func TestCallForCallerThatLeft(t *testing.T) {
+	f, near, far := newPair(t)
+	running, release := make(chan struct{}), make(chan struct{})
+	far.server.SetAnswer(func(_ http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get("Request-Id") != "parent" {
+			return false
+		}
+		close(running)
+		<-release
+		return false
+	})
+	defer close(release)
+	call := func(id string) (answer, error) {
+		return f.callWith(context.Background(), far, http.MethodPost, "/booking/1", "", http.Header{"Request-Id": {id}})
+	}
+	conn := open(t, near.cfg.Listen.Caller, requestOf(http.MethodGet, "/stock/1", http.Header{"Request-Id": {"parent"}, "Deadline-Ms": {"900"}}, "", false))
+	<-running
+	a, err := call("parent.first")
+	assertStatus(t, a, err, http.StatusOK)
+	_ = conn.Close()
+	f.eventually("the server's node has noticed that the sender has left", func() bool { return sendersLeft(t, f) == 2 })
+	a, err = call("parent.second")
+	assertRefusal(t, a, err)
+	assertRuns(t, near.server, "parent.second", 0)
+	a, err = call("other.call")
+	assertStatus(t, a, err, http.StatusOK)
+}
--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -19,6 +19,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"lavenderdeal/core/abandoned"
 	"lavenderdeal/core/gate"
 	"lavenderdeal/core/heartbeats"
 	"lavenderdeal/core/pick"
@@ -121,6 +122,8 @@
 	failureRate float64
 	// parents holds the requests that run on the server, by ID.
 	parents map[string]Parent
+	// abandoned holds those that were given up while they ran.
+	abandoned abandoned.Table
 	// down is set when the server has refused a connection since its last accepted
 	// heartbeat.
 	down bool
@@ -313,6 +316,14 @@
 	return p, ok
 }
 
+// IsAbandoned reports whether the request with an ID was given up while the server ran it, so
+// that nobody gets its answer.
+func (s *Server) IsAbandoned(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.abandoned.Has(time.Now(), id)
+}
+
 // Load returns the load of the server, with the mean running time of a class.
 func (s *Server) Load(class string) pick.Load {
 	s.mu.Lock()
@@ -463,11 +474,15 @@
 		s.mu.Unlock()
 		return *notRun(RuleWithdrawn, 0), nil
 	}
+	s.abandoned.Remove(id)
 	s.parents[id] = Parent{Rank: c.Rank, Target: time.Now().Add(c.Target), Deadline: deadline}
 	s.mu.Unlock()
 	answer, err := s.pool.Do(ctx, m.Address, &sent)
 	s.mu.Lock()
 	delete(s.parents, id)
+	if err != nil && ctx.Err() != nil {
+		s.abandoned.Add(time.Now(), id, deadline)
+	}
 	s.mu.Unlock()
 	if err != nil {
 		return s.failedResult(ctx, err), nil
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -101,6 +101,8 @@
 	// ruleDisconnected means that the connection to a node was lost, or not opened, before
 	// the body was sent.
 	ruleDisconnected = "nodeDisconnected"
+	// ruleParentAbandoned means that the request is a call for one that was given up.
+	ruleParentAbandoned = "parentAbandoned"
 )
 
 // Self identifies this node: its name, its availability zone and the service of the
@@ -344,6 +346,9 @@
 		return q, &outcome{status: http.StatusBadRequest, rule: ruleNoID}
 	}
 	parent, hasParent := p.local.Parent(in.Parent)
+	if !hasParent && in.Parent != "" && p.local.IsAbandoned(in.Parent) {
+		return q, &outcome{status: http.StatusServiceUnavailable, rule: ruleParentAbandoned, retryAfter: retryafter.NoServer}
+	}
 	if p.refusingNew.Load() && !hasParent {
 		return q, &outcome{status: http.StatusServiceUnavailable, rule: ruleStopping, retryAfter: retryafter.Stopping}
 	}
