local: the log says why a server's answer was no answer

Callers got 502 with the rule serverBroke; the cause was dropped. Log lines answerBroken have the request and the error.

--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -485,7 +485,7 @@
 	}
 	s.mu.Unlock()
 	if err != nil {
-		return s.failedResult(ctx, err), nil
+		return s.failedResult(ctx, id, err), nil
 	}
 	info := platform.ReadAnswer(answer.Status, answer.Header)
 	s.applyAnswer(m, info)
@@ -563,8 +563,8 @@
 }
 
 // failedResult returns the result of a request for which the server has not returned a
-// whole answer. It marks the server as down if the request could not be sent.
-func (s *Server) failedResult(ctx context.Context, err error) hop.Result {
+// whole answer, and logs why. It marks the server as down if the request could not be sent.
+func (s *Server) failedResult(ctx context.Context, id string, err error) hop.Result {
 	var e *http1.Error
 	if errors.As(err, &e) && !e.MayHaveSent {
 		if ctx.Err() == nil {
@@ -578,6 +578,8 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			rule = RuleDeadline
 		}
+	} else if s.log.Allow("answerBroken") {
+		s.log.Write("answerBroken", log.Fields{"request": id, "error": err})
 	}
 	return hop.Result{Verdict: hop.Unknown, Rule: rule, ReachedServer: true}
 }
