http1: a reset is not the end of an answer without a length

Cause: a socket reports a reset once. The write of the body got it, and the read of the answer a regular end, which ends a body without a length.

Change: package socket asks the socket how it has ended, whoever got the error; an end of the stream after a reset is an error. Package sender uses it too.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -15,15 +15,14 @@
 import (
 	"context"
 	"net"
-	"syscall"
 
-	"golang.org/x/sys/unix"
+	"lavenderdeal/internal/socket"
 )
 
 // Conn is the connection over which a request has arrived. A nil Conn is one whose sender has
 // not left.
 type Conn struct {
-	raw syscall.RawConn
+	socket *socket.Socket
 }
 
 type key struct{}
@@ -31,15 +30,7 @@
 // WithConn returns a context with the connection, for the ConnContext of an http.Server. The
 // contexts of the connection's requests have it too.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return ctx
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return ctx
-	}
-	return context.WithValue(ctx, key{}, &Conn{raw: raw})
+	return context.WithValue(ctx, key{}, &Conn{socket: socket.Of(c)})
 }
 
 // Of returns the connection of a request with this context, or nil if it is not known.
@@ -51,16 +42,4 @@
 // HasLeft returns true if the sender has closed or reset the connection, also if data that it
 // sent before has not been read. It reads nothing and leaves errors of the connection to the
 // next read.
-func (c *Conn) HasLeft() bool {
-	if c == nil {
-		return false
-	}
-	left := false
-	err := c.raw.Control(func(fd uintptr) {
-		fds := [...]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(fds[:], 0)
-		left = err == nil && n > 0
-	})
-	// The connection is closed here if there is an error.
-	return left || err != nil
-}
+func (c *Conn) HasLeft() bool { return c != nil && c.socket.HasEnded() }
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -42,6 +42,8 @@
 	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
+
+	"lavenderdeal/internal/socket"
 )
 
 const (
@@ -186,8 +188,9 @@
 
 // boundedReader reads from a connection until a number of bytes is used up.
 type boundedReader struct {
-	conn net.Conn
-	left int64
+	conn   net.Conn
+	socket *socket.Socket
+	left   int64
 	// received is set when bytes arrive. It may be nil.
 	received *atomic.Bool
 }
@@ -195,6 +198,10 @@
 // errNoBody marks the errors of requests whose body was not sent.
 var errNoBody = errors.New("the body was not sent")
 
+// errReset is the error of an answer whose connection was reset, if a write has got the error
+// of the connection.
+var errReset = errors.New("the connection was reset")
+
 // errTooLong is the error of an answer that is longer than its bound.
 var errTooLong = errors.New("the answer is too long")
 
@@ -207,6 +214,9 @@
 	if n > 0 && r.received != nil {
 		r.received.Store(true)
 	}
+	if errors.Is(err, io.EOF) && r.socket.IsReset() {
+		err = errReset
+	}
 	return n, err
 }
 
@@ -508,7 +518,7 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	bound := &boundedReader{conn: raw}
+	bound := &boundedReader{conn: raw, socket: socket.Of(raw)}
 	c := &conn{Conn: raw, bound: bound, reader: bufio.NewReaderSize(bound, bufferSize)}
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		if c.raw, err = tcp.SyscallConn(); err != nil {
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -530,3 +530,32 @@
 		}
 	})
 }
+
+// Guards against an answer without a length that is taken as whole although its connection was
+// reset (MIXED): the write of a long body may get the error of the reset, and the read of the
+// answer a regular end.
+func TestResetDuringUpload(t *testing.T) {
+	const requests, uploadBytes = 60, 8 << 20
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: x\r\n\r\npart")
+		time.Sleep(2 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	p := newPool(t)
+	taken := 0
+	for range requests {
+		r := request("x")
+		r.Body = make([]byte, uploadBytes)
+		if _, err := do(t, p, addr, r); err == nil {
+			taken++
+		} else {
+			assertSent(t, err, true)
+		}
+	}
+	if taken != 0 {
+		t.Fatalf("%d of %d answers that were cut off were taken as whole", taken, requests)
+	}
+}
