http1: an answer with a status that does not exist is no answer

Cause: http.ReadResponse takes any number of three characters for a status, 000, 099, 999 and +20 among them.

Change: the status is three digits from 100 to 599, the classes of RFC 9110, section 15.

Result: TestInvalidStatus failed for 000, 001, 099, 600, 999 and +20 before and passes.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -408,6 +408,9 @@
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read answer")
 		}
+		if !isStatus(raw.Status) {
+			return nil, false, errors.Newf("read answer: status %q, want 100 to 599", raw.Status)
+		}
 		if raw.StatusCode == http.StatusContinue && awaitContinue {
 			return nil, true, nil
 		}
@@ -436,6 +439,14 @@
 	return nil, false, errors.New("received only interim answers and answers to other requests")
 }
 
+// isStatus returns true if the text begins with three digits that are a status code. Those of
+// all classes are 100 to 599.
+func isStatus(text string) bool {
+	return len(text) >= 3 && text[0] >= '1' && text[0] <= '5' && isDigit(text[1]) && isDigit(text[2])
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
 // readBody reads the whole body of an answer, of at most limit bytes. Its memory grows as bytes arrive, whatever
 // length the header claims.
 func (p *Pool) readBody(c *conn, method string, raw *http.Response, limit int64) (body []byte, err error) {
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -559,3 +559,18 @@
 		t.Fatalf("%d of %d answers that were cut off were taken as whole", taken, requests)
 	}
 }
+
+// Guards against answers with a status that does not exist (MIXED): a server in trouble sent 000.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999", "-20", "+20", "2 0", "20", "2000", "2x0"} {
+		t.Run(status, func(t *testing.T) {
+			addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+				if readRequest(r) != "" {
+					_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Odd\r\nId: x\r\nContent-Length: 2\r\n\r\nok")
+				}
+			})
+			_, err := do(t, newPool(t), addr, request("x"))
+			assertSent(t, err, true)
+		})
+	}
+}
