http1: an answer with an invalid field name is no answer

Cause: http.ReadResponse takes names with blanks as they are. It refuses control bytes.

Change: a name that is no token (RFC 9112, section 5) makes the answer an error, also in interim answers.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -411,6 +411,11 @@
 		if !isStatus(raw.Status) {
 			return nil, false, errors.Newf("read answer: status %q, want 100 to 599", raw.Status)
 		}
+		for name := range raw.Header {
+			if !httpguts.ValidHeaderFieldName(name) {
+				return nil, false, errors.Newf("read answer: field name %q is not a token", name)
+			}
+		}
 		if raw.StatusCode == http.StatusContinue && awaitContinue {
 			return nil, true, nil
 		}
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -574,3 +574,43 @@
 		})
 	}
 }
+
+// Guards against answers whose fields have invalid names (MIXED): the line was passed on, or the
+// body was read by another length than the server's.
+func TestInvalidFieldNames(t *testing.T) {
+	const length = "Content-Length: 2\r\n"
+	for name, fields := range map[string]string{
+		"a blank within":               "X y: 1\r\n" + length,
+		"a blank before the colon":     "Content-Length : 2\r\n",
+		"a blank in the encoding":      "Transfer-Encoding : chunked\r\n",
+		"a tab before the colon":       "Content-Length\t: 2\r\n",
+		"a blank before the name":      " X: 1\r\n" + length,
+		"a control byte":               "X\x01y: 1\r\n" + length,
+		"a zero byte":                  "X\x00: 1\r\n" + length,
+		"a delete byte":                "X\x7f: 1\r\n" + length,
+		"a byte beyond ASCII":          "X\xe9: 1\r\n" + length,
+		"a separator":                  "X(y): 1\r\n" + length,
+		"no name":                      ": 1\r\n" + length,
+		"no colon":                     "X\r\n" + length,
+		"a carriage return within":     "X\ry: 1\r\n" + length,
+		"a blank, after other fields":  length + "X: 1\r\nY z: 1\r\n",
+		"a blank in an interim answer": "\r\nHTTP/1.1 200 OK\r\nX y: 1\r\nId: x\r\n" + length,
+	} {
+		t.Run(name, func(t *testing.T) {
+			status := "200 OK"
+			if strings.HasPrefix(fields, "\r\n") {
+				status = "103 Early Hints"
+			}
+			addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+				if readRequest(r) != "" {
+					_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nId: x\r\n"+fields+"\r\nok")
+				}
+			})
+			a, err := do(t, newPool(t), addr, request("x"))
+			if err == nil {
+				t.Fatalf("got the header %v and the body %q, want an error", a.Header, a.Body)
+			}
+			assertSent(t, err, true)
+		})
+	}
+}
