http1, httpclient: what HTTP/1.1 does not allow is no answer

Cause: both readers of answers, io/http1 and internal/httpclient, which all other clients use, left the checks to net/http. It takes statuses and names that do not exist, HTTP/2.0, folded fields, a length beside chunks, chunks in HTTP/1.0 as a body without a length, 101 without a request for it, blanks after the size of a chunk and invalid trailers.

Change: package httpcheck checks the bytes of answers below the parser (RFC 9112, sections 2 to 7). Invalid bytes end the connection, and are never part of a whole answer; the error says why and is logged. The request may have run. Callers get 502 answerSpoilt in the mesh, 502 or a broken connection (an invalid trailer behind a streamed body) in the other program. An end of a stream after a reset is an error in httpclient too.

--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -89,7 +89,7 @@
 // for the returned error whether a byte of the request may have been sent. The caller
 // closes the body of the response.
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
-	var trace sendTrace
+	trace := sendTrace{method: r.Method}
 	resp, err := c.service.DoRequest(DisableRetry(r.WithContext(trace.withTrace(r.Context()))))
 	if err != nil {
 		return nil, &SendError{MayHaveSent: trace.isSent(), cause: err}
--- a/internal/httpclient/sent.go
+++ b/internal/httpclient/sent.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"lavenderdeal/internal/httpcheck"
+	"lavenderdeal/internal/socket"
 )
 
 // SendError is the error of a request that got no response, or one that does not
@@ -38,6 +42,9 @@
 // sendTrace tracks the connections that the transport uses for one request.
 // Lock order: mu before the mu of a connection.
 type sendTrace struct {
+	// method is that of the request.
+	method string
+
 	mu   sync.Mutex
 	conn *countedConn
 	// writesBefore is the number of writes to conn when the request took it.
@@ -61,7 +68,7 @@
 		return
 	}
 	t.conn = conn
-	t.writesBefore = conn.begin()
+	t.writesBefore = conn.begin(t.method)
 }
 
 // isUnsolicited reports whether the response was received before the request was
@@ -102,11 +109,16 @@
 }
 
 // countedConn counts the writes to a connection and the reads from it that returned
-// data. Lock order: no other lock is taken while mu is held.
+// data, and checks what is read. Lock order: no other lock is taken while mu is held.
 type countedConn struct {
 	net.Conn
+	socket *socket.Socket
+
+	mu sync.Mutex
+	// check checks the answers, and invalid is its error.
+	check   httpcheck.Checker
+	invalid error
 
-	mu     sync.Mutex
 	writes uint64
 	reads  uint64
 	// writesAtBegin is the number of writes when the latest request took the
@@ -130,21 +142,42 @@
 	return c.Conn.Write(p)
 }
 
+// Read returns bytes only if they are valid, so that the transport gets no whole answer otherwise. An
+// end after a reset is an error, since a write may have got the error of the reset.
 func (c *countedConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	err := c.invalid
+	c.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		c.reads++
-		c.mu.Unlock()
+	if errors.Is(err, io.EOF) && c.socket.IsReset() {
+		err = io.ErrUnexpectedEOF
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n == 0 {
+		return n, err
+	}
+	c.reads++
+	valid, invalid := c.check.Check(p[:n])
+	if invalid == nil {
+		return n, err
+	}
+	c.invalid = invalid
+	if valid > 0 {
+		return valid, nil
 	}
-	return n, err
+	return 0, invalid
 }
 
-// begin is called when a request takes the connection. It returns the number of
+// begin is called when a request with the method takes the connection. It returns the number of
 // writes so far.
-func (c *countedConn) begin() uint64 {
+func (c *countedConn) begin(method string) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.check.Expect(method)
 	c.writesAtBegin = c.writes
 	c.readsAtSend = c.reads
 	return c.writesAtBegin
@@ -178,6 +211,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn}, nil
+		return &countedConn{Conn: conn, socket: socket.Of(conn)}, nil
 	}
 }
--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -25,6 +25,7 @@
 	"lavenderdeal/core/pick"
 	"lavenderdeal/core/quarantine"
 	"lavenderdeal/internal/crashes"
+	"lavenderdeal/internal/httpcheck"
 	"lavenderdeal/internal/jsonlog"
 	"lavenderdeal/internal/mesh/waitqueue"
 	"lavenderdeal/io/hop"
@@ -62,8 +63,8 @@
 	RuleCallerLeft = waitqueue.RuleCallerLeft
 	// RuleDeadline means that the deadline of the request has passed.
 	RuleDeadline = gate.RuleDeadline
-	// RuleInvalidResponse means that the answer has a content encoding, or a success
-	// status without the server's signature.
+	// RuleInvalidResponse means that the answer is none by HTTP/1.1, has a content encoding, or a
+	// success status without the server's signature.
 	RuleInvalidResponse = "answerSpoilt"
 	// RuleUnprovenRefusal means that the status of the answer implies that the
 	// request did not run, but the server has not confirmed it.
@@ -581,6 +582,9 @@
 	} else if s.log.Allow("answerBroken") {
 		s.log.Write("answerBroken", log.Fields{"request": id, "error": err})
 	}
+	if ctx.Err() == nil && errors.Is(err, httpcheck.ErrMalformed) {
+		rule = RuleInvalidResponse
+	}
 	return hop.Result{Verdict: hop.Unknown, Rule: rule, ReachedServer: true}
 }
 
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -18,7 +18,7 @@
 // # Complete answers
 //
 // An answer is returned only after its whole body was received. A body that is cut
-// short is an error. So is a head or a body without end: the bytes of a head, of a body and
+// short is an error. So are bytes that are no answer by HTTP/1.1, see [httpcheck.Checker]. So is a head or a body without end: the bytes of a head, of a body and
 // of all unfinished bodies together are bounded, since they are kept in memory.
 package http1
 
@@ -43,6 +43,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
 
+	"lavenderdeal/internal/httpcheck"
 	"lavenderdeal/internal/socket"
 )
 
@@ -193,6 +194,9 @@
 	left   int64
 	// received is set when bytes arrive. It may be nil.
 	received *atomic.Bool
+	// check checks the bytes, and invalid is its error.
+	check   httpcheck.Checker
+	invalid error
 }
 
 // errNoBody marks the errors of requests whose body was not sent.
@@ -206,6 +210,9 @@
 var errTooLong = errors.New("the answer is too long")
 
 func (r *boundedReader) Read(b []byte) (int, error) {
+	if r.invalid != nil {
+		return 0, r.invalid
+	}
 	if r.left <= 0 {
 		return 0, errTooLong
 	}
@@ -217,7 +224,15 @@
 	if errors.Is(err, io.EOF) && r.socket.IsReset() {
 		err = errReset
 	}
-	return n, err
+	valid, invalid := r.check.Check(b[:n])
+	if invalid == nil {
+		return n, err
+	}
+	r.invalid = invalid
+	if valid > 0 {
+		return valid, nil
+	}
+	return 0, invalid
 }
 
 type conn struct {
@@ -309,6 +324,10 @@
 		}
 	}
 	if err != nil {
+		if invalid := c.bound.invalid; invalid != nil && !errors.Is(err, httpcheck.ErrMalformed) {
+			// net/http reports another error within a trailer.
+			err = errors.Mark(errors.Wrap(err, invalid.Error()), httpcheck.ErrMalformed)
+		}
 		_ = c.Close()
 		return nil, &Error{MayHaveSent: !errors.Is(err, errNoBody), cause: err}
 	}
@@ -322,6 +341,7 @@
 // reused.
 func (p *Pool) exchange(c *conn, r *Request) (*Response, bool, error) {
 	c.bound.received = nil
+	c.bound.check.Expect(r.Method)
 	c.buf = appendHead(c.buf[:0], r)
 	written := true
 	var wrote chan bool
@@ -408,14 +428,6 @@
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read answer")
 		}
-		if !isStatus(raw.Status) {
-			return nil, false, errors.Newf("read answer: status %q, want 100 to 599", raw.Status)
-		}
-		for name := range raw.Header {
-			if !httpguts.ValidHeaderFieldName(name) {
-				return nil, false, errors.Newf("read answer: field name %q is not a token", name)
-			}
-		}
 		if raw.StatusCode == http.StatusContinue && awaitContinue {
 			return nil, true, nil
 		}
@@ -431,7 +443,7 @@
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read answer's body")
 		}
-		reuse := !raw.Close && c.reader.Buffered() == 0
+		reuse := !raw.Close && c.reader.Buffered() == 0 && c.bound.check.IsBetween()
 		if r.IsAnswer != nil && !r.IsAnswer(raw.Header) {
 			if raw.Close {
 				return nil, false, errors.New("the answer belongs to another request and closes the connection")
@@ -444,14 +456,6 @@
 	return nil, false, errors.New("received only interim answers and answers to other requests")
 }
 
-// isStatus returns true if the text begins with three digits that are a status code. Those of
-// all classes are 100 to 599.
-func isStatus(text string) bool {
-	return len(text) >= 3 && text[0] >= '1' && text[0] <= '5' && isDigit(text[1]) && isDigit(text[2])
-}
-
-func isDigit(c byte) bool { return c >= '0' && c <= '9' }
-
 // readBody reads the whole body of an answer, of at most limit bytes. Its memory grows as bytes arrive, whatever
 // length the header claims.
 func (p *Pool) readBody(c *conn, method string, raw *http.Response, limit int64) (body []byte, err error) {
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"lavenderdeal/internal/standin/malformed"
 	"lavenderdeal/internal/standin/testserver"
 	"lavenderdeal/io/http1"
 )
@@ -614,3 +615,45 @@
 		})
 	}
 }
+
+// Guards against bytes that are taken for an answer although HTTP/1.1 does not allow them (MIXED), and
+// against another request on their connection.
+func TestMalformedAnswers(t *testing.T) {
+	for name, answer := range malformed.Answers("Id: x") {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+				for readRequest(r) != "" {
+					runs.Add(1)
+					_, _ = io.WriteString(c, answer)
+				}
+			})
+			p := newPool(t)
+			for i := range 3 {
+				a, err := do(t, p, addr, request("x"))
+				if err == nil {
+					t.Fatalf("got status %d, header %v and body %q, want an error", a.Status, a.Header, a.Body)
+				}
+				assertSent(t, err, true)
+				if n := p.Dials(); n != uint64(i+1) || runs.Load() != int64(i+1) {
+					t.Fatalf("%d connections and %d requests, want %d", n, runs.Load(), i+1)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a request that gets the bytes after an earlier answer: the answer is valid, and its
+// connection is not used again.
+func TestInvalidBytesAfterAnswer(t *testing.T) {
+	addr := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for id := readRequest(r); id != ""; id = readRequest(r) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%snothing of use\r\n", id, len(id), id)
+		}
+	})
+	p := newPool(t)
+	for i := range 50 {
+		a, err := do(t, p, addr, request(fmt.Sprint(i)))
+		assertBody(t, a, err, fmt.Sprint(i))
+	}
+}
