peercall: an answer of a node that ends with its connection is no answer

A node that ends while it writes closes its connections regularly, so the end of an answer without a length proves nothing. Nodes frame all answers; the client took one without.

Change: IsFramed, which io/server had, is in httprelay, and peercall uses it too.

--- a/internal/httprelay/httprelay.go
+++ b/internal/httprelay/httprelay.go
@@ -103,6 +103,18 @@
 	CopyResponse(w, answer)
 }
 
+// IsFramed returns true if the end of the answer can be distinguished from a broken
+// connection.
+func IsFramed(method string, answer *http.Response) bool {
+	switch {
+	case method == http.MethodHead, answer.ContentLength >= 0, len(answer.TransferEncoding) > 0:
+		return true
+	case answer.StatusCode == http.StatusNoContent, answer.StatusCode == http.StatusNotModified:
+		return true
+	}
+	return false
+}
+
 // copyBody copies a body to w, and flushes w after each read if flush is set.
 func copyBody(w http.ResponseWriter, body io.Reader, flush bool) error {
 	buffer := buffers.Get().(*[]byte)
--- a/io/peercall/peercall.go
+++ b/io/peercall/peercall.go
@@ -94,6 +94,10 @@
 		defer answer.Body.Close()
 		return nil, load, readRefusal(answer)
 	}
+	if !httprelay.IsFramed(r.Method, answer) {
+		answer.Body.Close()
+		return nil, load, verdict.Unknown("answerNotFramed", "the answer ends with its connection, which nodes do not send", nil)
+	}
 	return answer, load, nil
 }
 
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -61,7 +61,7 @@
 		return nil, sendError(ctx, err)
 	}
 	caller.StripHeaders(answer.Header)
-	if !isFramed(r.Method, answer) {
+	if !httprelay.IsFramed(r.Method, answer) {
 		answer.Body.Close()
 		return nil, verdict.Unknown("answerNotFramed", "the backend server ended its answer by closing the connection, so nobody can tell whether it is whole", nil)
 	}
@@ -82,18 +82,6 @@
 	return verdict.Unknown("serverBroke", "the connection to the backend server broke", err)
 }
 
-// isFramed returns true if the end of the answer can be distinguished from a broken
-// connection.
-func isFramed(method string, answer *http.Response) bool {
-	switch {
-	case method == http.MethodHead, answer.ContentLength >= 0, len(answer.TransferEncoding) > 0:
-		return true
-	case answer.StatusCode == http.StatusNoContent, answer.StatusCode == http.StatusNotModified:
-		return true
-	}
-	return false
-}
-
 // trailerBody is the body of an answer. At its end, it removes from the answer the
 // trailers whose names only nodes may use.
 type trailerBody struct {
