socket: a cheaper check of whether the other side has ended a connection

The check of each request's sender took a poll at each node. A peek answers it unless data is unread, which only then hides the end, and costs the users' machines less.

A peek may take the error of a reset, which a poll leaves to the reader. The tests that said so of HasEnded and HasLeft are replaced: IsReset, which decides whether an answer is whole, still leaves it, and after HasEnded the reader still gets an end or an error.

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -40,6 +40,5 @@
 }
 
 // HasLeft returns true if the sender has closed or reset the connection, also if data that it
-// sent before has not been read. It reads nothing and leaves errors of the connection to the
-// next read.
+// sent before has not been read. It reads no data.
 func (c *Conn) HasLeft() bool { return c != nil && c.socket.HasEnded() }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,5 +1,5 @@
-// Package socket tells how the other side of a TCP connection has ended it, without reading
-// from it.
+// Package socket tells whether, and how, the other side of a TCP connection has ended it, without
+// reading data from it.
 //
 // A socket reports a reset once, as the error of whichever call comes first. If that is a
 // write, the next read returns a plain end of stream, as after a regular close. The state
@@ -12,6 +12,7 @@
 package socket
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
@@ -37,9 +38,24 @@
 }
 
 // HasEnded returns true if the other side has closed or reset the connection, also if data
-// that it sent before has not been read, or if the connection is closed here.
+// that it sent before has not been read, or if the connection is closed here. It may take the error
+// of a reset; IsReset returns true all the same.
 func (s *Socket) HasEnded() bool {
-	return s != nil && s.poll(unix.POLLRDHUP) != 0
+	if s == nil {
+		return false
+	}
+	ended, hasUnread := false, false
+	err := s.raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		hasUnread = n > 0
+		ended = n <= 0 && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+	})
+	if hasUnread {
+		// A peek does not see the end behind it.
+		return s.poll(unix.POLLRDHUP) != 0
+	}
+	return ended || err != nil
 }
 
 // IsReset returns true if the connection has ended by a reset or an error, also if another
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -55,6 +55,15 @@
 		_ = far.SetLinger(0)
 		_ = far.Close()
 		assertState(t, near, true, true)
+	})
+	t.Run("IsReset leaves the error of a reset to the reader", func(t *testing.T) {
+		near, far := accept(t)
+		_ = far.SetLinger(0)
+		_ = far.Close()
+		s := socket.Of(near)
+		for deadline := time.Now().Add(time.Second); !s.IsReset() && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
 		if _, err := near.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) {
 			t.Fatalf("the next read returns %v, want the error of the reset", err)
 		}
