--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -18,8 +18,9 @@
 // # Complete answers
 //
 // An answer is returned only after its whole body was received. A body that is cut
-// short is an error. So are bytes that are no answer by HTTP/1.1, see [httpcheck.Checker]. So is a head or a body without end: the bytes of a head, of a body and
-// of all unfinished bodies together are bounded, since they are kept in memory.
+// short is an error. So is a head or a body without end: the bytes of a head, of a body and
+// of all unfinished bodies together are bounded, since they are kept in memory. So are bytes
+// that are no answer by HTTP/1.1; see [httpcheck.Checker].
 package http1
 
 import (
