--- a/internal/calls/attempt.go
+++ b/internal/calls/attempt.go
@@ -101,6 +101,7 @@
 		load = &own
 	} else {
 		answer, load, err = e.peers.Do(ctx, server.Call, call, r, body)
+		recordMalformed(e.metrics, call, server.Id, err)
 	}
 	e.recordResult(ctx, server.Id, sent, load, err)
 	return answer, server.Id, err
--- a/internal/calls/keyed.go
+++ b/internal/calls/keyed.go
@@ -92,6 +92,7 @@
 	e.mu.Unlock()
 	call.To = id
 	answer, load, err := e.peers.Do(ctx, server.Call, call, r, body)
+	recordMalformed(e.metrics, call, id, err)
 	e.recordResult(ctx, id, sent, load, err)
 	return answer, err
 }
--- a/internal/calls/runner.go
+++ b/internal/calls/runner.go
@@ -201,6 +201,7 @@
 	}
 	answer, err := r.server.Do(ctx, call, request, body, r.chainHeader(ctx, call))
 	if err != nil {
+		recordMalformed(r.metrics, call, "backend server", err)
 		r.callFailed(ctx, slot, err)
 		cancel()
 		return nil, err
@@ -208,7 +209,8 @@
 	answered = true
 	r.metrics.Add("callsRun", 1)
 	r.callAnswered(slot, answer)
-	answer.Body = &slotBody{ReadCloser: answer.Body, cancel: cancel, free: free}
+	record := func(err error) { recordMalformed(r.metrics, call, "backend server", err) }
+	answer.Body = &slotBody{ReadCloser: answer.Body, cancel: cancel, free: free, failed: record}
 	return answer, nil
 }
 
@@ -240,6 +242,16 @@
 	io.ReadCloser
 	cancel context.CancelFunc
 	free   func()
+	// failed is called with the error of a read.
+	failed func(error)
+}
+
+func (b *slotBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.failed(err)
+	}
+	return n, err
 }
 
 func (b *slotBody) Close() error {
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -20,13 +20,16 @@
 			server.setAnswer(answer, false)
 			for _, through := range []*Node{near, far} {
 				for _, key := range []string{"", uuid(int(server.runs.Load()))} {
-					before := server.runs.Load()
+					before, recorded := server.runs.Load(), near.metrics.Counter("answersMalformed")
 					o := send(client, through, testCall{path: "/", key: key})
 					// An answer whose trailer is invalid has been passed on in part.
 					isBroken := o.err != nil || o.status == http.StatusBadGateway && o.verdict == (verdict.MayHaveRun{}).String()
 					if !isBroken {
 						t.Errorf("key %q: got %v, want a broken connection or an answer that the call may have run", key, o)
 					}
+					if isHead := o.err == nil; isHead && near.metrics.Counter("answersMalformed") == recorded {
+						t.Errorf("key %q: the node beside the server has not recorded why", key)
+					}
 					if n := server.runs.Load() - before; n != 1 {
 						t.Errorf("key %q: the call ran %d times, want once", key, n)
 					}
