--- a/internal/standin/malformed/malformed.go
+++ b/internal/standin/malformed/malformed.go
@@ -1,6 +1,6 @@
 // Package malformed has answers that HTTP/1.1 does not allow, for the tests of clients.
 //
-//	for name, answer := range malformed.Answers("Request-Id: " + id) {
+//	for name, answer := range malformed.Answers("Id: " + id) {
 //		...
 //	}
 package malformed
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -180,6 +180,7 @@
 	"bodyBroken":          "the request body from the caller was incomplete",
 	"bodySilent":          "the caller did not send the whole request body before the deadline: not run",
 	"memoryFull":          "the bodies of requests took all the memory for them: refused, not run",
+	"parentAbandoned":     "the request that the server makes this call for was given up: not run",
 	"nodeDisconnected":    "the connection to the server's node was lost before the body was sent: not run",
 	"noRequestID":         "the request has no id",
 }
