server, peercall: the body of a request is not read after its end

Cause: net/http's transport reads the body once more after its declared length. Once the answer is written to the caller, net/http's server has closed that body, the read fails, and the transport closes the connection on which the answer arrives.

Change: the body that is sent on ends after the declared length by itself (httprelay.RequestBody).

--- a/internal/httprelay/httprelay.go
+++ b/internal/httprelay/httprelay.go
@@ -56,6 +56,16 @@
 	}
 }
 
+// RequestBody returns the body of a request that is sent on, which is the body of r or a copy of it. It
+// ends after the length that r declares without a further read: net/http closes the body of r as soon as
+// the response is written, and a read after that would fail the request although all of it was sent.
+func RequestBody(r *http.Request, body io.Reader) io.Reader {
+	if r.ContentLength <= 0 {
+		return body
+	}
+	return io.LimitReader(body, r.ContentLength)
+}
+
 // CopyResponse copies a response to w. If the body cannot be copied completely, it
 // panics with http.ErrAbortHandler, which aborts the connection, so that the client
 // never takes a truncated response for a complete one. The caller closes the body.
--- a/io/peercall/peercall.go
+++ b/io/peercall/peercall.go
@@ -64,7 +64,7 @@
 // were received, and the load of the backend server, or nil if the node did not report
 // it. The error has a verdict. The caller must close the body of the answer.
 func (c *Client) Do(ctx context.Context, to netip.AddrPort, call messages.Call, r *http.Request, body io.Reader) (*http.Response, *messages.Load, error) {
-	request, err := httpclient.NewRequest(ctx, r.Method, "http://"+to.String()+r.URL.RequestURI(), body)
+	request, err := httpclient.NewRequest(ctx, r.Method, "http://"+to.String()+r.URL.RequestURI(), httprelay.RequestBody(r, body))
 	if err != nil {
 		return nil, nil, verdict.Refuse("requestMalformed", err.Error())
 	}
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -43,7 +43,7 @@
 // that it makes on behalf of this one. The error has a verdict. The caller must close
 // the body of the answer.
 func (c *Client) Do(ctx context.Context, call messages.Call, r *http.Request, body io.Reader, chain string) (*http.Response, error) {
-	request, err := httpclient.NewRequest(ctx, r.Method, "http://"+c.addr.String()+r.URL.RequestURI(), body)
+	request, err := httpclient.NewRequest(ctx, r.Method, "http://"+c.addr.String()+r.URL.RequestURI(), httprelay.RequestBody(r, body))
 	if err != nil {
 		return nil, verdict.Refuse("requestMalformed", err.Error())
 	}
