--- /dev/null
+++ b/review/harness/server.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	serverSlots = 18
+	serverQueue = 72
+	healthTime  = 6 * time.Millisecond
+	coldTime    = 3 * time.Second
+	beatTime    = 1500 * time.Millisecond
+	idleTime    = 10 * time.Second
+	// crashPath is the path of the request that crashes each server that begins to run it.
+	crashPath = "crash"
+)
+
+// server is a stand-in for the application server of one machine. It has several incarnations.
+type server struct {
+	f       *fleet
+	service string
+	addr    netip.AddrPort
+	control netip.AddrPort
+	zone    string
+	work    time.Duration
+	// onRun is called as a request begins to run, if it is not nil, and crashes the server if it
+	// returns true.
+	onRun func(r *http.Request) bool
+	// downTime is how long a crashed server is away.
+	downTime time.Duration
+
+	mu sync.Mutex
+	// run is the present incarnation, or nil while the server is down.
+	run   *incarnation
+	count int
+}
+
+// incarnation is one start of a server.
+type incarnation struct {
+	s        *server
+	id       string
+	born     time.Time
+	http     *http.Server
+	listener net.Listener
+	slots    chan struct{}
+	queued   chan struct{}
+	done     context.Context
+	end      context.CancelFunc
+	draining bool
+	seq      int
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// start starts a new incarnation.
+func (s *server) start() error {
+	l, err := net.Listen("tcp", s.addr.String())
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count++
+	i := &incarnation{
+		s: s, id: fmt.Sprintf("i-%s-%d", strings.ReplaceAll(s.addr.Addr().String(), ".", "-"), s.count), born: time.Now(), listener: l,
+		slots: make(chan struct{}, serverSlots), queued: make(chan struct{}, serverQueue), conns: make(map[net.Conn]bool),
+	}
+	i.done, i.end = context.WithCancel(context.Background())
+	i.http = &http.Server{Handler: i, IdleTimeout: idleTime, ConnState: i.connState}
+	s.run = i
+	s.f.note("server %s starts as %s", s.addr, i.id)
+	go func() { _ = i.http.Serve(l) }()
+	go i.beat()
+	return nil
+}
+
+func (i *incarnation) connState(c net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		i.conns[c] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(i.conns, c)
+	}
+}
+
+// crash ends the incarnation as a crash of the process does, and starts the next one later.
+func (s *server) crash(why string) {
+	s.mu.Lock()
+	i := s.run
+	s.run = nil
+	s.mu.Unlock()
+	if i == nil {
+		return
+	}
+	s.f.note("server %s crashes: %s", i.id, why)
+	i.end()
+	_ = i.listener.Close()
+	i.mu.Lock()
+	for c := range i.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	i.mu.Unlock()
+	_ = i.http.Close()
+	time.AfterFunc(s.downTime, func() {
+		if s.f.ctx.Err() == nil {
+			if err := s.start(); err != nil {
+				s.f.note("server %s cannot start: %v", s.addr, err)
+			}
+		}
+	})
+}
+
+// beat sends heartbeats until the incarnation ends.
+func (i *incarnation) beat() {
+	for i.done.Err() == nil && i.s.f.ctx.Err() == nil {
+		i.sendBeat("ready")
+		select {
+		case <-i.done.Done():
+		case <-time.After(beatTime):
+		}
+	}
+}
+
+func (i *incarnation) sendBeat(state string) {
+	i.seq++
+	body, err := json.Marshal(map[string]any{
+		"service": i.s.service, "address": i.s.addr.String(), "zone": i.s.zone, "version": "v1", "slots": serverSlots, "state": state,
+		"cold_ms": max(0, (coldTime - time.Since(i.born)).Milliseconds()), "seq": i.seq, "born": i.born.UnixMilli(),
+	})
+	if err != nil {
+		panic(err)
+	}
+	ctx, cancel := context.WithTimeout(i.done, time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+i.s.control.String()+"/instances/"+i.id, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, 4<<10))
+	_ = answer.Body.Close()
+}
+
+func (i *incarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	if id != "" {
+		w.Header().Set("Request-Id", id)
+	}
+	isHealth := r.URL.Path == "/health"
+	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != i.id {
+		w.Header().Set("Instance-Id", i.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if !isHealth && id == "" {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ctx := r.Context()
+	if ms, err := strconv.ParseFloat(r.Header.Get("Deadline-Ms"), 64); err == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms*float64(time.Millisecond)))
+		defer cancel()
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	select {
+	case i.queued <- struct{}{}:
+	default:
+		i.refuse(w)
+		return
+	}
+	select {
+	case i.slots <- struct{}{}:
+		<-i.queued
+	case <-ctx.Done():
+		<-i.queued
+		i.refuse(w)
+		return
+	}
+	defer func() { <-i.slots }()
+	if isHealth {
+		time.Sleep(healthTime)
+		w.Header().Set("Instance-Id", i.id)
+		return
+	}
+	i.s.f.ran(i, r)
+	if i.s.onRun != nil && i.s.onRun(r) {
+		i.s.crash("request " + id)
+		panic(http.ErrAbortHandler)
+	}
+	work := i.s.work
+	if time.Since(i.born) < coldTime {
+		work *= 2
+	}
+	select {
+	case <-time.After(work):
+	case <-ctx.Done():
+		if r.Context().Err() != nil {
+			return
+		}
+		w.Header().Set("Response-Signature", "s."+i.id+"."+id)
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	case <-i.done.Done():
+		i.s.f.mu.Lock()
+		i.s.f.lost[id] = true
+		i.s.f.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Response-Signature", "s."+i.id+"."+id)
+	fmt.Fprintf(w, "%s %s by %s", r.Method, r.RequestURI, i.id)
+}
+
+func (i *incarnation) refuse(w http.ResponseWriter) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
