--- a/review/harness/crash.go
+++ b/review/harness/crash.go
@@ -61,8 +61,8 @@
 		pool, fresh := newClient(false), newClient(true)
 		go func() {
 			for k := 0; f.ctx.Err() == nil; k++ {
-				go f.send(pool, m, http.MethodGet, hostStock, fmt.Sprintf("/stock/%d", k%50), fmt.Sprintf("s%d-%d", n, k), nil, 1200*time.Millisecond)
-				go f.send(fresh, m, http.MethodPost, hostBooking, "/booking/set", fmt.Sprintf("b%d-%d", n, k), fmt.Appendf(nil, "set %d-%d", n, k), 1500*time.Millisecond)
+				go f.send(pool, m, http.MethodGet, hostStock, fmt.Sprintf("/stock/%d", k%50), fmt.Sprintf("s%d-%d", n, k), nil, 1200*time.Millisecond, nil)
+				go f.send(fresh, m, http.MethodPost, hostBooking, "/booking/set", fmt.Sprintf("b%d-%d", n, k), fmt.Appendf(nil, "set %d-%d", n, k), 1500*time.Millisecond, nil)
 				time.Sleep(200 * time.Millisecond)
 			}
 		}()
@@ -105,7 +105,7 @@
 		done <- nil
 	}
 	crash := func(m *machine, id string) {
-		f.send(fresh, m, http.MethodPost, hostBooking, "/booking/"+crashPath, id, []byte("the same body"), 1500*time.Millisecond)
+		f.send(fresh, m, http.MethodPost, hostBooking, "/booking/"+crashPath, id, []byte("the same body"), 1500*time.Millisecond, nil)
 	}
 	for zone, m := range first {
 		go crash(m, "c-"+zone)
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -28,6 +28,9 @@
 	portPeer    = 7600
 	portMetrics = 7615
 	portStore   = 8627
+	// Other nodes reach a machine with links at these.
+	portCallLink = 8634
+	portPeerLink = 7610
 )
 
 // fleet is a small deployment: the store, and machines with a node and a server each.
@@ -46,6 +49,13 @@
 	// lost holds the ordinary requests that ran on a server as it crashed, and served those
 	// that were answered with success.
 	lost, served map[string]bool
+	// sent holds when each request was sent.
+	sent map[string]time.Time
+	// cutOff holds the machines that are cut off from all others, until cutChanged is closed.
+	cutOff     map[*machine]bool
+	cutChanged chan struct{}
+	// more is added to the settings of the nodes.
+	more string
 }
 
 // run is a request that a server has begun to run.
@@ -86,7 +96,9 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{began: time.Now(), dir: dir, record: file, lost: make(map[string]bool), served: make(map[string]bool), subnet: [2]byte{byte(1 + os.Getpid()%250), byte(rand.N(250))}}
+	f := &fleet{began: time.Now(), dir: dir, record: file,
+		lost: make(map[string]bool), served: make(map[string]bool), sent: make(map[string]time.Time), cutChanged: make(chan struct{}),
+		subnet: [2]byte{byte(1 + os.Getpid()%250), byte(rand.N(250))}}
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	f.store, err = startStore(netip.AddrPortFrom(f.ip(250), portStore))
 	return f, err
@@ -163,10 +175,27 @@
 	return m, os.WriteFile(m.settings, []byte(m.fill(string(template))), 0o600)
 }
 
-// fill fills in the deploy file's template as for a deployment without tenants and roll-outs.
+// addLinks puts proxies before the ports on which other nodes reach the machine.
+func (m *machine) addLinks() error {
+	call, peer := netip.AddrPortFrom(m.ip, portCallLink), netip.AddrPortFrom(m.ip, portPeerLink)
+	if err := m.f.startLink(m, call, netip.AddrPortFrom(m.ip, portCall)); err != nil {
+		return err
+	}
+	if err := m.f.startLink(m, peer, netip.AddrPortFrom(m.ip, portPeer)); err != nil {
+		return err
+	}
+	text, err := os.ReadFile(m.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(m.settings, fmt.Appendf(text, "announce: {call: %q, peer: %q}\n", call.String(), peer.String()), 0o600)
+}
+
+// fill fills in the deploy file's template. Its sections for tenants and roll-outs are replaced by
+// the further settings of the fleet.
 func (m *machine) fill(text string) string {
 	if i := strings.Index(text, "{{#"); i >= 0 {
-		text = text[:i]
+		text = text[:i] + m.f.more
 	}
 	at := func(port uint16) string { return netip.AddrPortFrom(m.ip, port).String() }
 	return strings.NewReplacer(
@@ -307,7 +336,7 @@
 }
 
 // send sends one request and records what came of it.
-func (f *fleet) send(c *http.Client, m *machine, method, host, path, id string, body []byte, deadline time.Duration) answer {
+func (f *fleet) send(c *http.Client, m *machine, method, host, path, id string, body []byte, deadline time.Duration, header map[string]string) answer {
 	ctx, cancel := context.WithTimeout(f.ctx, deadline)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+m.caller.String()+path, bytes.NewReader(body))
@@ -315,9 +344,15 @@
 		panic(err)
 	}
 	r.Host = host
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
 	r.Header.Set("Request-Id", id)
 	r.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	f.note("sent %s %s %s to %s", id, method, path, m.name)
+	f.mu.Lock()
+	f.sent[id] = time.Now()
+	f.mu.Unlock()
 	got, err := c.Do(r)
 	if err != nil {
 		f.note("answer %s none: %v", id, err)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,6 +22,8 @@
 // cases holds the cases by name. A case returns its result.
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
 	"crash": playCrash,
+	"quota": playQuota,
+	"split": playSplit,
 }
 
 func main() {
