--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -319,15 +319,6 @@
 	_ = f.record.Close()
 }
 
-// answer is what a client has got for one attempt.
-type answer struct {
-	// status is 0 if the connection ended without an answer.
-	status int
-	signed bool
-	body   []byte
-	err    error
-}
-
 // client sends requests to one machine. With fresh set, each has a new connection.
 func newClient(fresh bool) *http.Client {
 	return &http.Client{Transport: &http.Transport{
@@ -336,7 +327,7 @@
 }
 
 // send sends one request and records what came of it.
-func (f *fleet) send(c *http.Client, m *machine, method, host, path, id string, body []byte, deadline time.Duration, header map[string]string) answer {
+func (f *fleet) send(c *http.Client, m *machine, method, host, path, id string, body []byte, deadline time.Duration, header map[string]string) {
 	ctx, cancel := context.WithTimeout(f.ctx, deadline)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+m.caller.String()+path, bytes.NewReader(body))
@@ -356,16 +347,15 @@
 	got, err := c.Do(r)
 	if err != nil {
 		f.note("answer %s none: %v", id, err)
-		return answer{err: err}
+		return
 	}
 	defer got.Body.Close()
 	content, err := io.ReadAll(got.Body)
-	a := answer{status: got.StatusCode, signed: got.Header.Get("Response-Signature") != "", body: content, err: err}
-	if a.status == http.StatusOK && a.signed && a.err == nil {
+	signed := got.Header.Get("Response-Signature") != ""
+	if got.StatusCode == http.StatusOK && signed && err == nil {
 		f.mu.Lock()
 		f.served[id] = true
 		f.mu.Unlock()
 	}
-	f.note("answer %s %d signed %t %q", id, a.status, a.signed, bytes.TrimSpace(content))
-	return a
+	f.note("answer %s %d signed %t %q", id, got.StatusCode, signed, bytes.TrimSpace(content))
 }
--- a/review/harness/proxy.go
+++ b/review/harness/proxy.go
@@ -42,7 +42,7 @@
 }
 
 func (k *link) serve(from net.Conn) {
-	defer from.Close()
+	defer func() { _ = from.Close() }()
 	owner := k.f.ownerOf(from.RemoteAddr().String())
 	if owner == nil {
 		// The node has closed it, or has ended.
@@ -59,12 +59,12 @@
 		}
 		return
 	}
-	defer to.Close()
+	defer func() { _ = to.Close() }()
 	var group sync.WaitGroup
 	for _, d := range [][2]net.Conn{{from, to}, {to, from}} {
 		group.Go(func() {
-			defer from.Close()
-			defer to.Close()
+			defer func() { _ = from.Close() }()
+			defer func() { _ = to.Close() }()
 			buf := make([]byte, 16<<10)
 			for {
 				n, err := d[0].Read(buf)
@@ -114,7 +114,7 @@
 	if err != nil {
 		return ""
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	ip := addr.Addr().As4()
 	want := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], addr.Port())
 	lines := bufio.NewScanner(io.LimitReader(file, 16<<20))
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -57,7 +57,6 @@
 	queued   chan struct{}
 	done     context.Context
 	end      context.CancelFunc
-	draining bool
 	seq      int
 
 	mu    sync.Mutex
