--- a/review/harness/crash.go
+++ b/review/harness/crash.go
@@ -44,7 +44,7 @@
 	f.store.put("config", "main", map[string]any{
 		"version": fmt.Sprintf("%08x", version),
 		"routes": map[string]any{
-			"columns": []string{"name", "host", "path_prefix", "kind", "timeout_ms", "target_latency_ms", "priority", "service", "max_attempts", "backends"},
+			"columns": []string{"name", "host", names.Prefix, "kind", "timeout_ms", names.Target, "priority", "service", names.Servers, "backends"},
 			"rows":    rows,
 		},
 		"services": map[string]any{
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -123,11 +123,11 @@
 
 // ran records that a server begins to run a request.
 func (f *fleet) ran(i *incarnation, r *http.Request) {
-	x := run{at: time.Now(), id: r.Header.Get("Request-Id"), server: i.id, method: r.Method, uri: r.RequestURI}
+	x := run{at: time.Now(), id: r.Header.Get(names.RequestID), server: i.id, method: r.Method, uri: r.RequestURI}
 	f.mu.Lock()
 	f.runs = append(f.runs, x)
 	f.mu.Unlock()
-	f.note("run %s %s %s %s by %s", x.id, r.Header.Get("Caller-Service"), x.method, x.uri, x.server)
+	f.note("run %s %s %s %s by %s", x.id, r.Header.Get(names.Caller), x.method, x.uri, x.server)
 }
 
 // lostRuns returns the number of ordinary requests that a crash broke off and that no other server
@@ -338,8 +338,8 @@
 	for name, value := range header {
 		r.Header.Set(name, value)
 	}
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set(names.RequestID, id)
+	r.Header.Set(names.Deadline, fmt.Sprint(deadline.Milliseconds()))
 	f.note("sent %s %s %s to %s", id, method, path, m.name)
 	f.mu.Lock()
 	f.sent[id] = time.Now()
@@ -351,7 +351,7 @@
 	}
 	defer got.Body.Close()
 	content, err := io.ReadAll(got.Body)
-	signed := got.Header.Get("Response-Signature") != ""
+	signed := got.Header.Get(names.Signature) != ""
 	if got.StatusCode == http.StatusOK && signed && err == nil {
 		f.mu.Lock()
 		f.served[id] = true
--- a/review/harness/quota.go
+++ b/review/harness/quota.go
@@ -65,7 +65,7 @@
 	f.store.put("config", "main", map[string]any{
 		"version": "00000007",
 		"routes": map[string]any{
-			"columns": []string{"name", "host", "path_prefix", "kind", "timeout_ms", "target_latency_ms", "priority", "service", "max_attempts", "backends", "allow_anonymous"},
+			"columns": []string{"name", "host", names.Prefix, "kind", "timeout_ms", names.Target, "priority", "service", names.Servers, "backends", names.Anonymous},
 			"rows":    [][]any{{"r-unit", hostStock, "/unit/", "safe", 3000, 500, 0, "leigjendur", 2, nil, false}},
 		},
 		"services": map[string]any{
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -141,7 +141,7 @@
 	i.seq++
 	body, err := json.Marshal(map[string]any{
 		"service": i.s.service, "address": i.s.addr.String(), "zone": i.s.zone, "version": "v1", "slots": serverSlots, "state": state,
-		"cold_ms": max(0, (coldTime - time.Since(i.born)).Milliseconds()), "seq": i.seq, "born": i.born.UnixMilli(),
+		names.Cold: max(0, (coldTime - time.Since(i.born)).Milliseconds()), "seq": i.seq, "born": i.born.UnixMilli(),
 	})
 	if err != nil {
 		panic(err)
@@ -162,23 +162,23 @@
 }
 
 func (i *incarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Request-Id")
+	id := r.Header.Get(names.RequestID)
 	if id != "" {
-		w.Header().Set("Request-Id", id)
+		w.Header().Set(names.RequestID, id)
 	}
 	isHealth := r.URL.Path == "/health"
-	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != i.id {
+	if expected := r.Header.Get(names.Expected); expected != "" && expected != i.id {
 		w.Header().Set("Instance-Id", i.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if !isHealth && id == "" {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	ctx := r.Context()
-	if ms, err := strconv.ParseFloat(r.Header.Get("Deadline-Ms"), 64); err == nil {
+	if ms, err := strconv.ParseFloat(r.Header.Get(names.Deadline), 64); err == nil {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms*float64(time.Millisecond)))
 		defer cancel()
@@ -221,7 +221,7 @@
 		if r.Context().Err() != nil {
 			return
 		}
-		w.Header().Set("Response-Signature", "s."+i.id+"."+id)
+		w.Header().Set(names.Signature, "s."+i.id+"."+id)
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	case <-i.done.Done():
@@ -230,11 +230,11 @@
 		i.s.f.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Response-Signature", "s."+i.id+"."+id)
+	w.Header().Set(names.Signature, "s."+i.id+"."+id)
 	fmt.Fprintf(w, "%s %s by %s", r.Method, r.RequestURI, i.id)
 }
 
 func (i *incarnation) refuse(w http.ResponseWriter) {
-	w.Header().Set("Not-Executed", "1")
+	w.Header().Set(names.NotExecuted, "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -132,7 +132,7 @@
 			items = append(items, o)
 		}
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "current_rev": s.revision})
+	reply(w, http.StatusOK, map[string]any{"items": items, names.More: false, names.Revision: s.revision})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind, since, wait string) {
@@ -159,7 +159,7 @@
 			return
 		}
 		if len(found) > 0 {
-			reply(w, http.StatusOK, map[string]any{"events": found, "current_rev": revision})
+			reply(w, http.StatusOK, map[string]any{"events": found, names.Revision: revision})
 			return
 		}
 		select {
@@ -167,7 +167,7 @@
 		case <-r.Context().Done():
 			return
 		case <-timer.C:
-			reply(w, http.StatusOK, map[string]any{"events": found, "current_rev": revision})
+			reply(w, http.StatusOK, map[string]any{"events": found, names.Revision: revision})
 			return
 		}
 	}
