--- a/review/harness/proxy.go
+++ b/review/harness/proxy.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// ownerAttempts is how often the node that has opened a connection is looked for again.
+const ownerAttempts = 5
+
 // link is a proxy before one port of a machine, on which other nodes reach it. It knows which
 // node has opened each connection, and holds back the bytes between two machines that are cut off
 // from each other.
@@ -44,6 +47,11 @@
 func (k *link) serve(from net.Conn) {
 	defer func() { _ = from.Close() }()
 	owner := k.f.ownerOf(from.RemoteAddr().String())
+	for n := 0; owner == nil && n < ownerAttempts; n++ {
+		// The kernel's list may lack a socket if others are opened while it is read.
+		time.Sleep(time.Millisecond)
+		owner = k.f.ownerOf(from.RemoteAddr().String())
+	}
 	if owner == nil {
 		// The node has closed it, or has ended.
 		return
