--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,6 +22,7 @@
 // cases holds the cases by name. A case returns its result.
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
 	"crash": playCrash,
+	"drain": playDrain,
 	"quota": playQuota,
 	"split": playSplit,
 }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -22,6 +22,8 @@
 	coldTime    = 3 * time.Second
 	beatTime    = 1500 * time.Millisecond
 	idleTime    = 10 * time.Second
+	// acknowledgeTime is how long a leaving server waits for the acknowledgement.
+	acknowledgeTime = 5 * time.Second
 	// crashPath is the path of the request that crashes each server that begins to run it.
 	crashPath = "crash"
 )
@@ -39,8 +41,12 @@
 	onRun func(r *http.Request) bool
 	// downTime is how long a crashed server is away.
 	downTime time.Duration
+	// keepsID is set if all incarnations have the same id.
+	keepsID bool
 
 	mu sync.Mutex
+	// clock is by how much the machine's time of day is ahead of the true time.
+	clock time.Duration
 	// run is the present incarnation, or nil while the server is down.
 	run   *incarnation
 	count int
@@ -48,8 +54,10 @@
 
 // incarnation is one start of a server.
 type incarnation struct {
-	s        *server
-	id       string
+	s       *server
+	id      string
+	started time.Time
+	// born is started by the machine's time of day.
 	born     time.Time
 	http     *http.Server
 	listener net.Listener
@@ -59,10 +67,18 @@
 	end      context.CancelFunc
 	seq      int
 
+	// leaving is closed as the server begins to leave, and acknowledged as a node has acknowledged that.
+	leaving, acknowledged chan struct{}
+
 	mu    sync.Mutex
 	conns map[net.Conn]bool
 }
 
+// id returns the id of the last incarnation.
+func (s *server) id() string {
+	return fmt.Sprintf("i-%s-%d", strings.ReplaceAll(s.addr.Addr().String(), ".", "-"), s.count)
+}
+
 // start starts a new incarnation.
 func (s *server) start() error {
 	l, err := net.Listen("tcp", s.addr.String())
@@ -71,15 +87,19 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.count++
+	if s.count == 0 || !s.keepsID {
+		s.count++
+	}
+	now := time.Now()
 	i := &incarnation{
-		s: s, id: fmt.Sprintf("i-%s-%d", strings.ReplaceAll(s.addr.Addr().String(), ".", "-"), s.count), born: time.Now(), listener: l,
+		s: s, id: s.id(),
+		started: now, born: now.Add(s.clock), listener: l, leaving: make(chan struct{}), acknowledged: make(chan struct{}),
 		slots: make(chan struct{}, serverSlots), queued: make(chan struct{}, serverQueue), conns: make(map[net.Conn]bool),
 	}
 	i.done, i.end = context.WithCancel(context.Background())
 	i.http = &http.Server{Handler: i, IdleTimeout: idleTime, ConnState: i.connState}
 	s.run = i
-	s.f.note("server %s starts as %s", s.addr, i.id)
+	s.f.note("server %s starts as %s, born %d", s.addr, i.id, i.born.UnixMilli())
 	go func() { _ = i.http.Serve(l) }()
 	go i.beat()
 	return nil
@@ -96,16 +116,60 @@
 	}
 }
 
+// setClock lets the machine's time of day jump.
+func (s *server) setClock(ahead time.Duration) {
+	s.f.note("the time of day at server %s is %s ahead", s.addr, ahead)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock = ahead
+}
+
 // crash ends the incarnation as a crash of the process does, and starts the next one later.
 func (s *server) crash(why string) {
+	if !s.end("crashes: " + why) {
+		return
+	}
+	time.AfterFunc(s.downTime, func() {
+		if s.f.ctx.Err() == nil {
+			if err := s.start(); err != nil {
+				s.f.note("server %s cannot start: %v", s.addr, err)
+			}
+		}
+	})
+}
+
+// leave lets the incarnation leave as planned: it reports that it is draining, serves for a time after
+// the acknowledgement, and exits. It returns when the acknowledgement came, or false if there was none.
+func (s *server) leave(serve time.Duration) (time.Time, bool) {
+	s.mu.Lock()
+	i := s.run
+	s.mu.Unlock()
+	s.f.note("server %s leaves", i.id)
+	close(i.leaving)
+	select {
+	case <-i.acknowledged:
+	case <-time.After(acknowledgeTime):
+		s.end("exits without an acknowledgement")
+		return time.Time{}, false
+	}
+	at := time.Now()
+	s.f.note("the leaving of server %s is acknowledged", i.id)
+	time.Sleep(serve)
+	i.call(http.MethodDelete, nil)
+	s.end("exits")
+	return at, true
+}
+
+// end ends the incarnation with all its connections, if there is one.
+func (s *server) end(why string) bool {
 	s.mu.Lock()
 	i := s.run
 	s.run = nil
 	s.mu.Unlock()
 	if i == nil {
-		return
+		return false
 	}
-	s.f.note("server %s crashes: %s", i.id, why)
+	s.f.note("server %s %s", i.id, why)
 	i.end()
 	_ = i.listener.Close()
 	i.mu.Lock()
@@ -117,48 +181,61 @@
 	}
 	i.mu.Unlock()
 	_ = i.http.Close()
-	time.AfterFunc(s.downTime, func() {
-		if s.f.ctx.Err() == nil {
-			if err := s.start(); err != nil {
-				s.f.note("server %s cannot start: %v", s.addr, err)
-			}
-		}
-	})
+	return true
 }
 
 // beat sends heartbeats until the incarnation ends.
 func (i *incarnation) beat() {
+	leaving, acknowledged := i.leaving, false
 	for i.done.Err() == nil && i.s.f.ctx.Err() == nil {
-		i.sendBeat("ready")
+		state := "ready"
+		if leaving == nil {
+			state = "draining"
+		}
+		if i.sendBeat(state) && leaving == nil && !acknowledged {
+			acknowledged = true
+			close(i.acknowledged)
+		}
 		select {
 		case <-i.done.Done():
+		case <-leaving:
+			leaving = nil
 		case <-time.After(beatTime):
 		}
 	}
 }
 
-func (i *incarnation) sendBeat(state string) {
+// sendBeat sends a heartbeat, and reports whether it was acknowledged.
+func (i *incarnation) sendBeat(state string) bool {
 	i.seq++
 	body, err := json.Marshal(map[string]any{
 		"service": i.s.service, "address": i.s.addr.String(), "zone": i.s.zone, "version": "v1", "slots": serverSlots, "state": state,
-		names.Cold: max(0, (coldTime - time.Since(i.born)).Milliseconds()), "seq": i.seq, "born": i.born.UnixMilli(),
+		names.Cold: max(0, (coldTime - time.Since(i.started)).Milliseconds()), "seq": i.seq, "born": i.born.UnixMilli(),
 	})
 	if err != nil {
 		panic(err)
 	}
+	ok := i.call(http.MethodPut, body)
+	i.s.f.note("heartbeat %d of server %s: %s, acknowledged %t", i.seq, i.id, state, ok)
+	return ok
+}
+
+// call makes a call to the node, and reports whether it was acknowledged.
+func (i *incarnation) call(method string, body []byte) bool {
 	ctx, cancel := context.WithTimeout(i.done, time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+i.s.control.String()+"/instances/"+i.id, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+i.s.control.String()+"/instances/"+i.id, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
 	r.Header.Set("Content-Type", "application/json")
 	answer, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return
+		return false
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, 4<<10))
-	_ = answer.Body.Close()
+	defer answer.Body.Close()
+	_, err = io.Copy(io.Discard, io.LimitReader(answer.Body, 4<<10))
+	return err == nil && answer.StatusCode/100 == 2
 }
 
 func (i *incarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -166,6 +243,13 @@
 	if id != "" {
 		w.Header().Set(names.RequestID, id)
 	}
+	isLeaving := false
+	select {
+	case <-i.leaving:
+		isLeaving = true
+		w.Header().Set("Connection", "close")
+	default:
+	}
 	isHealth := r.URL.Path == "/health"
 	if expected := r.Header.Get(names.Expected); expected != "" && expected != i.id {
 		w.Header().Set("Instance-Id", i.id)
@@ -204,6 +288,9 @@
 	if isHealth {
 		time.Sleep(healthTime)
 		w.Header().Set("Instance-Id", i.id)
+		if isLeaving {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	i.s.f.ran(i, r)
@@ -212,7 +299,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	work := i.s.work
-	if time.Since(i.born) < coldTime {
+	if time.Since(i.started) < coldTime {
 		work *= 2
 	}
 	select {
