--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -155,8 +155,7 @@
 // crash that is already known changes nothing.
 func (t *Table) Crashed(now time.Time, c Crash) []Entry {
 	t.expire(now)
-	known := func(s crashRecord) bool { return s.Server == c.Server && s.Sequence == c.Sequence }
-	if slices.ContainsFunc(t.crashes, known) {
+	if t.Knows(c) {
 		return nil
 	}
 	if len(c.Suspects) > maxSuspects {
@@ -174,6 +173,17 @@
 	return entries
 }
 
+// Knows reports whether a crash has been recorded.
+func (t *Table) Knows(c Crash) bool {
+	return slices.ContainsFunc(t.crashes, func(r crashRecord) bool { return r.Server == c.Server && r.Sequence == c.Sequence })
+}
+
+// Evidence returns the number of crashes that count as evidence.
+func (t *Table) Evidence(now time.Time) int {
+	t.expire(now)
+	return len(t.crashes)
+}
+
 // Check returns the entry of the fingerprint, and whether its calls are refused.
 func (t *Table) Check(now time.Time, fingerprint string) (Entry, bool) {
 	for _, e := range t.entries {
--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -79,8 +79,13 @@
 type Crashed struct {
 	// Node is the name of the node beside the server.
 	Node string
+	// Sequence is the number of the crash among those that the node has observed.
+	Sequence uint64
 	// Suspects is the number of distinct fingerprints of the calls that were running.
 	Suspects int
+	// IsKnown is set if the crash was taken for one that was reported before and is no
+	// further evidence.
+	IsKnown bool
 }
 
 // Quarantined is sent when a quarantine begins: from then on, calls with the entry's
@@ -221,6 +226,13 @@
 	return m.table.Entries(time.Now())
 }
 
+// Evidence returns the number of crashes that count as evidence.
+func (m *Monitor) Evidence() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Evidence(time.Now())
+}
+
 // Run detects and reports crashes of the server until ctx is done. It always returns
 // nil.
 func (m *Monitor) Run(ctx context.Context) error {
@@ -327,9 +339,10 @@
 // recordCrash adds a crash, here or at another node, to the evidence.
 func (m *Monitor) recordCrash(c quarantine.Crash) {
 	m.mu.Lock()
+	isKnown := m.table.Knows(c)
 	quarantined := m.table.Crashed(time.Now(), c)
 	m.mu.Unlock()
-	m.Notify(Crashed{Node: c.Server, Suspects: len(c.Suspects)})
+	m.Notify(Crashed{Node: c.Server, Sequence: c.Sequence, Suspects: len(c.Suspects), IsKnown: isKnown})
 	for _, e := range quarantined {
 		m.Notify(Quarantined{Entry: e})
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -409,6 +409,8 @@
 	n.meter.Gauge("head_bytes", "bytes", "memory of the heads of requests beyond 16 KiB each", func() float64 { return float64(n.clientMemory.HeadBytes()) })
 	n.meter.Gauge("version", "versions", "version of the configuration in force", func() float64 { return float64(n.versions.Version()) })
 	n.meter.Gauge("nodes", "nodes", "known nodes, this one included", func() float64 { return float64(n.members.Len()) })
+	n.meter.Gauge("crashes_known", "crashes", "crashes of servers that count as evidence against requests", func() float64 { return float64(n.monitor.Evidence()) })
+	n.meter.Gauge("requests_quarantined", "requests", "kinds of requests that are refused because they crash servers", func() float64 { return float64(len(n.monitor.Entries())) })
 	if n.rollouts != nil {
 		n.meter.Gauge("rollout_phase", "phases", "last order for the own service: 0 none, 1 trial, 2 cut-over, 3 completed, 4 rolled back, 5 withdrawn", n.rollouts.PhaseNumber)
 		n.meter.Counters("rollout_trial_requests_total", "service", "requests of this node for servers on trial since the last order", n.rollouts.Requests)
@@ -558,7 +560,7 @@
 func (n *Node) logCrashEvent(e crashes.Event) {
 	switch e := e.(type) {
 	case crashes.Crashed:
-		n.log.WriteLimited("serverCrashed", log.Fields{"peer": e.Node, "suspects": e.Suspects})
+		n.log.WriteLimited("serverCrashed", log.Fields{"peer": e.Node, "sequence": e.Sequence, "suspects": e.Suspects, "known": e.IsKnown, "evidence": n.monitor.Evidence()})
 	case crashes.Quarantined:
 		n.log.WriteLimited("requestQuarantined", log.Fields{
 			"fingerprint": e.Entry.Fingerprint, "subject": e.Entry.Subject, "crashedAt": e.Entry.Servers,
