--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -15,6 +15,14 @@
 //		refuse(e)
 //	}
 //
+// # Evidence of other nodes
+//
+// A node that has started, or has not received reports for a while, gets what it lacks from
+// another one:
+//
+//	missing := other.Missing(now, t.Summary(now))
+//	quarantined := t.Merge(now, missing)
+//
 // # Suspicion
 //
 // A fingerprint whose calls were running in crashes of two servers is suspect. Its
@@ -98,8 +106,9 @@
 type Crash struct {
 	// Server is the id of the backend server's node.
 	Server string
-	// Sequence is the number of this crash among those that the node has observed.
-	Sequence uint64
+	// Process identifies the node's process, and Sequence is the number of this crash among
+	// those that it has observed.
+	Process, Sequence uint64
 	// Suspects are the calls that were running.
 	Suspects []Suspect
 }
@@ -126,6 +135,8 @@
 	// newer and older count answered calls by fingerprint. When newer is full, it
 	// replaces older.
 	newer, older map[string]int
+	// lifted holds the quarantines that the operator has ended.
+	lifted []lifted
 }
 
 type crashRecord struct {
@@ -158,13 +169,7 @@
 	if t.Knows(c) {
 		return nil
 	}
-	if len(c.Suspects) > maxSuspects {
-		c.Suspects = c.Suspects[:maxSuspects]
-	}
-	if len(t.crashes) == maxCrashes {
-		t.crashes = slices.Delete(t.crashes, 0, 1)
-	}
-	t.crashes = append(t.crashes, crashRecord{Crash: c, at: now})
+	t.record(crashRecord{Crash: c, at: now})
 	entries := t.mostSuspect(c)
 	for i := range entries {
 		entries[i].Until = now.Add(quarantineTime)
@@ -175,7 +180,7 @@
 
 // Knows reports whether a crash has been recorded.
 func (t *Table) Knows(c Crash) bool {
-	return slices.ContainsFunc(t.crashes, func(r crashRecord) bool { return r.Server == c.Server && r.Sequence == c.Sequence })
+	return slices.ContainsFunc(t.crashes, func(r crashRecord) bool { return r.Key() == c.Key() })
 }
 
 // Evidence returns the number of crashes that count as evidence.
@@ -208,11 +213,15 @@
 // returns false if the fingerprint is not quarantined.
 func (t *Table) Lift(now time.Time, fingerprint string) bool {
 	t.expire(now)
-	before := len(t.entries)
-	t.entries = slices.DeleteFunc(t.entries, func(e Entry) bool { return e.Fingerprint == fingerprint })
-	if len(t.entries) == before {
+	e, ok := t.Check(now, fingerprint)
+	if !ok {
 		return false
 	}
+	t.entries = slices.DeleteFunc(t.entries, func(e Entry) bool { return e.Fingerprint == fingerprint })
+	if len(t.lifted) == maxEntries {
+		t.lifted = slices.Delete(t.lifted, 0, 1)
+	}
+	t.lifted = append(t.lifted, lifted{fingerprint: fingerprint, at: now, until: e.Until})
 	for i := range t.crashes {
 		suspects := slices.Clone(t.crashes[i].Suspects)
 		t.crashes[i].Suspects = slices.DeleteFunc(suspects, func(s Suspect) bool { return s.Fingerprint == fingerprint })
@@ -267,7 +276,8 @@
 func (t *Table) add(e Entry) {
 	t.entries = slices.DeleteFunc(t.entries, func(o Entry) bool { return o.Fingerprint == e.Fingerprint })
 	if len(t.entries) == maxEntries {
-		t.entries = slices.Delete(t.entries, 0, 1)
+		first := slices.MinFunc(t.entries, func(a, b Entry) int { return a.Until.Compare(b.Until) })
+		t.entries = slices.DeleteFunc(t.entries, func(o Entry) bool { return o.Fingerprint == first.Fingerprint })
 	}
 	t.entries = append(t.entries, e)
 }
@@ -275,6 +285,7 @@
 func (t *Table) expire(now time.Time) {
 	t.entries = slices.DeleteFunc(t.entries, func(e Entry) bool { return !now.Before(e.Until) })
 	t.crashes = slices.DeleteFunc(t.crashes, func(c crashRecord) bool { return now.Sub(c.at) >= crashTTL })
+	t.lifted = slices.DeleteFunc(t.lifted, func(l lifted) bool { return now.Sub(l.at) >= crashTTL })
 }
 
 // SortSuspects sorts by ascending number of answered calls, so that a truncated report
--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -4,9 +4,11 @@
 // A [Monitor] is notified when a call begins and how it ends. It detects a crash
 // when the connections of all running calls break and the server refuses new ones,
 // or when several break at once. It then reports the calls that were running to the
-// nodes of the other servers of the service, and handles their reports. It sends an
-// [Event] when it records a crash, when a quarantine begins or is lifted, and when a
-// report fails. Calls with a quarantined fingerprint are refused:
+// nodes of the other servers of the service, and handles their reports. It tells the
+// nodes of other services of quarantines, and gets from other nodes what it has not
+// received, by [Monitor.CatchUp] and [Monitor.Compare]. It sends an [Event] when it records
+// a crash, when a quarantine begins or is lifted, and when a report fails. Calls with a
+// quarantined fingerprint are refused:
 //
 //	if err := monitor.Check(fingerprint); err != nil {
 //		return err
@@ -17,6 +19,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -40,6 +43,10 @@
 
 	// reportMethod is the method of the message that reports a crash to another node.
 	reportMethod = "quarantine"
+	// tellMethod is the method of the message that tells another node of quarantines, and
+	// askMethod that of the question for evidence.
+	tellMethod = "quarantineTell"
+	askMethod  = "quarantineAsk"
 	// maxProbes bounds the attempts to connect to the server after the connection of a
 	// call broke, and probePause is the time between them. probeTimeout bounds each.
 	maxProbes    = 6
@@ -58,6 +65,13 @@
 	reportTimeout        = 1 * time.Second
 	reportAttempts       = 2
 	maxConcurrentReports = 8
+
+	// askTimeout bounds a question for evidence. A node that starts asks catchUpNodes at
+	// once, and others if none of them answers.
+	askTimeout   = 600 * time.Millisecond
+	catchUpNodes = 3
+	// maxProcess bounds the number of a process, which some JSON decoders read as a float.
+	maxProcess = 1 << 53
 )
 
 // Call describes a call to the backend server.
@@ -71,8 +85,8 @@
 	Path     string
 }
 
-// Event is sent to the Notify function of a Monitor. It is Crashed, Quarantined, Lifted
-// or ReportFailed.
+// Event is sent to the Notify function of a Monitor. It is Crashed, Quarantined, Learned,
+// Lifted or ReportFailed.
 type Event interface{ implementsEvent() }
 
 // Crashed is sent when a server has crashed, here or at another node.
@@ -92,6 +106,14 @@
 // fingerprint are refused.
 type Quarantined struct{ Entry quarantine.Entry }
 
+// Learned is sent when another node has told what this one had not received.
+type Learned struct {
+	// From is the peer address of the node. It is not valid if the node told it unasked.
+	From netip.AddrPort
+	// Crashes and Quarantined are the numbers of crashes and of quarantined fingerprints.
+	Crashes, Quarantined int
+}
+
 // Lifted is sent when the operator has lifted a quarantine.
 type Lifted struct{ Fingerprint string }
 
@@ -113,6 +135,12 @@
 	// PeerAddrs returns the peer addresses of the nodes beside the other servers of
 	// the service.
 	PeerAddrs func() []netip.AddrPort
+	// OtherPeerAddrs returns the peer addresses of the nodes beside servers of other
+	// services, which are told of quarantines. It may be nil.
+	OtherPeerAddrs func() []netip.AddrPort
+	// SyncInterval is the mean time between questions to other nodes of the service for
+	// what this one has not received. If it is 0, Compare is to be called instead.
+	SyncInterval time.Duration
 	// Endpoint sends the reports to these nodes.
 	Endpoint *peer.Endpoint
 	// Notify is called with each event.
@@ -123,10 +151,15 @@
 	running map[uint64]runningCall
 	// broken holds the calls whose connection broke, until detect has examined them.
 	broken []brokenCall
-	// sequence numbers the crashes of this node's server.
-	sequence uint64
+	// process is a random number, and sequence numbers the crashes that this process has
+	// observed. Both identify a crash.
+	process, sequence uint64
 	// wake wakes Run when the connection of a call broke.
 	wake chan struct{}
+	// untold holds the quarantines that Run is to tell the nodes of other services of, and
+	// tellWake wakes it then.
+	untold   []quarantine.Entry
+	tellWake chan struct{}
 }
 
 type runningCall struct {
@@ -139,12 +172,19 @@
 	at time.Time
 }
 
-// Handle registers the handler for crash reports of other nodes.
+// Handle registers the handlers for messages of other nodes.
 func (m *Monitor) Handle(mux *peer.Mux) {
 	peer.Handle(mux, reportMethod, func(_ context.Context, msg messages.Crash) (messages.Empty, error) {
 		m.recordCrash(crashOf(msg))
 		return messages.Empty{}, nil
 	})
+	peer.Handle(mux, tellMethod, func(_ context.Context, msg messages.Evidence) (messages.Empty, error) {
+		m.learn(netip.AddrPort{}, msg)
+		return messages.Empty{}, nil
+	})
+	peer.Handle(mux, askMethod, func(_ context.Context, q messages.EvidenceQuestion) (messages.Evidence, error) {
+		return m.answer(q), nil
+	})
 }
 
 // Check returns a refusal if the fingerprint of a call is quarantined, with the time
@@ -160,6 +200,14 @@
 	return verdict.RefuseFor(RuleQuarantined, "calls like this one ended backend servers; fingerprint "+fingerprint, e.Until.Sub(now))
 }
 
+// IsEmpty reports whether no fingerprint is quarantined, in which case Check need not be
+// called. It may return false for quarantines that have ended.
+func (m *Monitor) IsEmpty() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.IsEmpty()
+}
+
 // Begin records a call that is about to be sent to the server. The ID must be unique
 // among the running calls.
 func (m *Monitor) Begin(id uint64, c Call) {
@@ -237,17 +285,25 @@
 // nil.
 func (m *Monitor) Run(ctx context.Context) error {
 	m.mu.Lock()
-	wake := m.wakeLocked()
+	wake, untold := m.wakeLocked(), m.untoldLocked()
 	m.mu.Unlock()
+	// Nodes that do not answer must not delay the detection of the next crash.
+	var group errgroup.Group
+	defer func() { _ = group.Wait() }()
+	if m.SyncInterval > 0 {
+		group.Go(func() error { return m.syncLoop(ctx) })
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-untold:
+			group.Go(func() error { m.tell(ctx); return nil })
 		case <-wake:
-		}
-		if c, ok := m.detect(ctx); ok {
-			m.recordCrash(c)
-			m.report(ctx, c)
+			if c, ok := m.detect(ctx); ok {
+				m.recordCrash(c)
+				group.Go(func() error { m.report(ctx, c); return nil })
+			}
 		}
 	}
 }
@@ -260,6 +316,15 @@
 	return m.wake
 }
 
+// untoldLocked returns the channel that wakes Run to tell others of quarantines. The caller
+// holds mu.
+func (m *Monitor) untoldLocked() chan struct{} {
+	if m.tellWake == nil {
+		m.tellWake = make(chan struct{}, 1)
+	}
+	return m.tellWake
+}
+
 // detect determines whether the server has crashed, and returns the calls that were
 // running. While a call that began before the first broken one is still running, the
 // server is considered alive and is not probed.
@@ -281,7 +346,10 @@
 		return quarantine.Crash{}, false
 	}
 	m.sequence++
-	c := quarantine.Crash{Server: m.Node(), Sequence: m.sequence}
+	for m.process == 0 {
+		m.process = rand.Uint64N(maxProcess)
+	}
+	c := quarantine.Crash{Server: m.Node(), Process: m.process, Sequence: m.sequence}
 	for _, b := range broken {
 		c.Suspects = m.appendSuspect(c.Suspects, b.Call)
 	}
@@ -336,11 +404,23 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// recordCrash adds a crash, here or at another node, to the evidence.
+// recordCrash adds a crash, here or at another node, to the evidence. The nodes beside the
+// servers that have crashed tell those of other services of the quarantines that begin.
 func (m *Monitor) recordCrash(c quarantine.Crash) {
 	m.mu.Lock()
 	isKnown := m.table.Knows(c)
 	quarantined := m.table.Crashed(time.Now(), c)
+	for _, e := range quarantined {
+		if m.OtherPeerAddrs != nil && slices.Contains(e.Servers, m.Node()) {
+			m.untold = append(m.untold, e)
+		}
+	}
+	if len(m.untold) > 0 {
+		select {
+		case m.untoldLocked() <- struct{}{}:
+		default:
+		}
+	}
 	m.mu.Unlock()
 	m.Notify(Crashed{Node: c.Server, Sequence: c.Sequence, Suspects: len(c.Suspects), IsKnown: isKnown})
 	for _, e := range quarantined {
@@ -375,23 +455,8 @@
 	}
 }
 
-func messageOf(c quarantine.Crash) messages.Crash {
-	msg := messages.Crash{Server: c.Server, Sequence: c.Sequence}
-	for _, s := range c.Suspects {
-		msg.Suspects = append(msg.Suspects, messages.Suspect{Fingerprint: s.Fingerprint, Answered: s.Answered, Subject: s.Subject})
-	}
-	return msg
-}
-
-func crashOf(msg messages.Crash) quarantine.Crash {
-	c := quarantine.Crash{Server: msg.Server, Sequence: msg.Sequence}
-	for _, s := range msg.Suspects {
-		c.Suspects = append(c.Suspects, quarantine.Suspect{Fingerprint: s.Fingerprint, Answered: s.Answered, Subject: s.Subject})
-	}
-	return c
-}
-
 func (Crashed) implementsEvent()      {}
 func (Quarantined) implementsEvent()  {}
+func (Learned) implementsEvent()      {}
 func (Lifted) implementsEvent()       {}
 func (ReportFailed) implementsEvent() {}
--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -25,6 +25,7 @@
 	"lavenderdeal/core/outlier"
 	"lavenderdeal/core/pick"
 	"lavenderdeal/core/quarantine"
+	"lavenderdeal/core/verdict"
 	"lavenderdeal/internal/crashes"
 	"lavenderdeal/internal/httpcheck"
 	"lavenderdeal/internal/jsonlog"
@@ -519,6 +520,18 @@
 	return result, answer
 }
 
+// QuarantinedFor returns the time for which requests like r are refused because they have
+// crashed servers, here or elsewhere. It returns 0 if they are not.
+func (s *Server) QuarantinedFor(r *http1.Request) time.Duration {
+	if s.monitor.IsEmpty() {
+		return 0
+	}
+	if refused, ok := verdict.Of(s.monitor.Check(monitoredCall(r).Fingerprint)).(verdict.NotRun); ok {
+		return refused.RetryAfter
+	}
+	return 0
+}
+
 // monitoredCall returns the record of a request for the crash monitor. It does not
 // depend on the caller's service, since a request that crashes servers may come
 // from any caller.
--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -153,6 +153,7 @@
 	onEarlierEntry func(messages.Entry)
 	onRecovered    func()
 	awaitUplink    func(ctx context.Context, bytes int, within time.Duration) bool
+	evidence       Evidence
 	// storeRecovered wakes discoverLoop when the store answers again.
 	storeRecovered chan struct{}
 	// ctx is canceled when Run ends.
@@ -160,6 +161,20 @@
 	cancel context.CancelFunc
 }
 
+// Evidence is what nodes know of requests that crash servers. It is called concurrently.
+type Evidence interface {
+	// Digests returns hashes of the quarantined requests and of the crashes.
+	Digests() (quarantined, crashes string)
+	// Compare gets the evidence of another node if it differs by its hashes.
+	Compare(ctx context.Context, e messages.Entry, quarantined, crashes string)
+}
+
+type noEvidence struct{}
+
+func (noEvidence) Digests() (quarantined, crashes string) { return "", "" }
+
+func (noEvidence) Compare(context.Context, messages.Entry, string, string) {}
+
 // Option configures Members.
 type Option func(*Members)
 
@@ -181,6 +196,10 @@
 	return func(m *Members) { m.awaitUplink = await }
 }
 
+// WithEvidence sets the evidence that is compared with that of other nodes, beside the
+// roster. By default there is none.
+func WithEvidence(e Evidence) Option { return func(m *Members) { m.evidence = e } }
+
 // New returns Members that know only this node's entry, own. Handle must be called
 // before the endpoint listens; Run sets the endpoint.
 func New(own messages.Entry, client *store.Client, v *versions.Follower, l *jsonlog.Log, opts ...Option) *Members {
@@ -191,6 +210,7 @@
 		plan: fetchplan.New(), planChanged: make(chan struct{}, 1),
 		onEarlierEntry: func(messages.Entry) {}, onRecovered: func() {},
 		awaitUplink: func(context.Context, int, time.Duration) bool { return true },
+		evidence:    noEvidence{},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -208,9 +228,16 @@
 	peer.Handle(mux, methodSync, func(_ context.Context, q messages.SyncQuestion) (messages.SyncAnswer, error) {
 		m.merge(q.Entries, "synced")
 		m.handleNews(messages.News{Node: q.Node, Version: q.Version})
+		quarantined, crashes := m.evidence.Digests()
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		a := messages.SyncAnswer{Version: int(m.versions.Version()), Same: q.Digest == m.roster.Digest()}
+		a := messages.SyncAnswer{Version: int(m.versions.Version()), Same: q.Digest == m.roster.Digest(), Quarantined: quarantined, Crashes: crashes}
+		if from, ok := m.roster.Get(q.Node); ok && !m.stopped && (q.Quarantined != quarantined || q.Crashes != crashes) {
+			m.group.Go(func() error {
+				m.evidence.Compare(m.ctx, from, q.Quarantined, q.Crashes)
+				return nil
+			})
+		}
 		switch {
 		case a.Same:
 		case q.Full:
@@ -261,12 +288,22 @@
 
 // ServicePeers returns the peer addresses of the other nodes of this node's service.
 func (m *Members) ServicePeers() []netip.AddrPort {
+	return m.peers(func(e, own messages.Entry) bool { return e.Service == own.Service })
+}
+
+// OtherPeers returns the peer addresses of the nodes of other services.
+func (m *Members) OtherPeers() []netip.AddrPort {
+	return m.peers(func(e, own messages.Entry) bool { return e.Service != own.Service })
+}
+
+// peers returns the peer addresses of the other nodes for which fn returns true.
+func (m *Members) peers(fn func(e, own messages.Entry) bool) []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	service := m.roster.Own().Service
+	own := m.roster.Own()
 	var addrs []netip.AddrPort
 	for _, e := range m.roster.Others() {
-		if e.Service == service {
+		if fn(e, own) {
 			addrs = append(addrs, e.Peer)
 		}
 	}
--- a/internal/mesh/members/sync.go
+++ b/internal/mesh/members/sync.go
@@ -62,12 +62,14 @@
 // returns. If introduce is set, it also sends this node's entry and requests all entries
 // of the other. It returns false if the node did not answer.
 func (m *Members) exchange(ctx context.Context, e messages.Entry, introduce bool) bool {
+	quarantined, crashes := m.evidence.Digests()
 	m.mu.Lock()
 	// Rosters differ for a moment while changes are in transit, so all entries are
 	// requested only after several differences in a row.
 	q := messages.SyncQuestion{
 		Digest: m.roster.Digest(), Version: int(m.versions.Version()),
 		Full: introduce || m.differingSyncs >= maxDifferingSyncs, Epoch: e.Epoch, Node: m.roster.Own().Node,
+		Quarantined: quarantined, Crashes: crashes,
 	}
 	if introduce {
 		q.Entries = []messages.Entry{m.roster.Own()}
@@ -93,6 +95,9 @@
 		m.send(e, m.newer(a.Entries))
 	}
 	m.fetchIfNewer(a.Version, e)
+	if a.Quarantined != quarantined || a.Crashes != crashes {
+		m.evidence.Compare(m.ctx, e, a.Quarantined, a.Crashes)
+	}
 	return true
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -34,6 +34,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lavenderdeal/core/heartbeats"
+	"lavenderdeal/core/quarantine"
 	"lavenderdeal/core/quotahome"
 	"lavenderdeal/core/retrybudget"
 	"lavenderdeal/internal/crashes"
@@ -109,6 +110,9 @@
 	// checks doubles up to maxConfirmInterval.
 	confirmInterval    = 200 * time.Millisecond
 	maxConfirmInterval = 2 * time.Second
+	// catchUpTimeout bounds the time until the server takes requests although no other node
+	// has told what it knows of crashes. Each node compares its roster once a second.
+	catchUpTimeout = 1500 * time.Millisecond
 	// maxHeartbeatBytes bounds the body of a heartbeat.
 	maxHeartbeatBytes = 64 << 10
 	// bodyMemoryDivisor is the part of the node's memory that unfinished bodies of answers
@@ -159,6 +163,9 @@
 	clientMemory *httpserver.Memory
 	servers      []*httpserver.Server
 	meter        meter.Meter
+	// recovered is set once the store has shown what earlier processes of this node have left
+	// there, and caughtUp once other nodes were asked for crashes.
+	recovered, caughtUp atomic.Bool
 	// stopping is set when Stop was called, and notReadyResponses counts the failed
 	// readiness checks since then.
 	stopping atomic.Bool
@@ -178,6 +185,9 @@
 		serverPool: http1.New(http1.WithBodyMemory(bodyMemory(cfg.Memory))),
 		store:      store.New(cfg.Store, store.WithEra(platform.ReadStoreEra)),
 	}
+	n.monitor = &crashes.Monitor{
+		Server: cfg.Server, Notify: n.logCrashEvent, Node: func() string { return cfg.Node },
+	}
 	n.versions = versions.New(n.store, l, n.handleVersionEvent)
 	n.members = members.New(messages.Entry{
 		Node: cfg.Node, Epoch: int(time.Now().UnixMilli()), Zone: cfg.Zone, Service: cfg.Service,
@@ -185,11 +195,8 @@
 	}, n.store, n.versions, l, members.WithEarlierEntry(n.handleEarlierEntry), members.WithRecovered(n.handleRecovered),
 		members.WithUplink(func(ctx context.Context, bytes int, within time.Duration) bool {
 			return n.proxy.AwaitUplink(ctx, bytes, within)
-		}))
-	n.monitor = &crashes.Monitor{
-		Server: cfg.Server, Notify: n.logCrashEvent, PeerAddrs: n.members.ServicePeers,
-		Node: func() string { return cfg.Node },
-	}
+		}), members.WithEvidence(crashEvidence{monitor: n.monitor, service: cfg.Service}))
+	n.monitor.PeerAddrs, n.monitor.OtherPeerAddrs = n.members.ServicePeers, n.members.OtherPeers
 	beats := heartbeats.New(cfg.Service, cfg.Server, cfg.Drain.Std())
 	beats.AwaitConfirmation()
 	var localOpts []local.Option
@@ -238,6 +245,7 @@
 	if n.fresh != nil {
 		n.group.Go(func() error { return n.fresh.Run(ctx, n.endpoint) })
 	}
+	n.group.Go(func() error { return n.catchUp(ctx) })
 	n.group.Go(func() error { return n.confirmServer(ctx) })
 	if n.rollouts != nil {
 		n.group.Go(func() error { return n.rollouts.Run(ctx, n.endpoint) })
@@ -522,7 +530,7 @@
 	delay := confirmInterval
 	for !n.local.IsConfirmed() && wait.For(ctx, delay) {
 		table := n.versions.Table()
-		if table == nil || n.local.State().Instance == "" {
+		if table == nil || n.local.State().Instance == "" || !n.caughtUp.Load() {
 			delay = confirmInterval
 			continue
 		}
@@ -566,6 +574,8 @@
 			"fingerprint": e.Entry.Fingerprint, "subject": e.Entry.Subject, "crashedAt": e.Entry.Servers,
 			"answered": e.Entry.Answered, "until": e.Entry.Until,
 		})
+	case crashes.Learned:
+		n.log.WriteLimited("crashesLearned", log.Fields{"from": e.From.String(), "crashes": e.Crashes, "quarantined": e.Quarantined})
 	case crashes.Lifted:
 		n.log.WriteLimited("quarantineLifted", log.Fields{"fingerprint": e.Fingerprint})
 	case crashes.ReportFailed:
@@ -590,8 +600,46 @@
 }
 
 // handleRecovered lets the server take requests, unless an earlier entry says that it is
-// leaving.
-func (n *Node) handleRecovered() { n.local.Confirm(confirmedByStore) }
+// leaving, or the other nodes have not been asked for crashes yet.
+func (n *Node) handleRecovered() {
+	n.recovered.Store(true)
+	n.confirmByStore()
+}
+
+func (n *Node) confirmByStore() {
+	if n.recovered.Load() && n.caughtUp.Load() {
+		n.local.Confirm(confirmedByStore)
+	}
+}
+
+// catchUp gets what other nodes know of requests that crash servers, before the server takes
+// any: an earlier process may have known them, and so do others. It returns nil.
+func (n *Node) catchUp(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	if wait.Until(limited, catchUpTimeout, n.members.IsDiscovered) {
+		n.monitor.CatchUp(limited)
+	}
+	n.caughtUp.Store(true)
+	n.confirmByStore()
+	return nil
+}
+
+// crashEvidence is the evidence of a crash monitor as members compare it.
+type crashEvidence struct {
+	monitor *crashes.Monitor
+	service string
+}
+
+func (c crashEvidence) Digests() (quarantined, crashes string) {
+	d := c.monitor.Digest()
+	return d.Fingerprints, d.Crashes
+}
+
+func (c crashEvidence) Compare(ctx context.Context, e messages.Entry, quarantined, crashes string) {
+	d := quarantine.Digest{Fingerprints: quarantined, Crashes: crashes}
+	c.monitor.Compare(ctx, e.Peer, d, e.Service == c.service)
+}
 
 // Stop shuts the node down gracefully. It announces by the readiness check and then to the
 // other nodes that the node is stopping, keeps serving until callers have noticed,
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -432,6 +432,11 @@
 		p.writeRefusal(r.Context(), w, q, *failed)
 		return
 	}
+	if left := p.local.QuarantinedFor(q.http); left > 0 {
+		q.turnedAway = true
+		p.writeRefusal(r.Context(), w, q, outcome{status: http.StatusServiceUnavailable, rule: local.RuleQuarantined, retryAfter: left})
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	defer context.AfterFunc(p.running, cancel)()
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -18,6 +18,8 @@
 	case crashes.Quarantined:
 		n.metrics.Add("quarantined", 1)
 		n.ring.Add(explain.Record{At: now, Kind: "callQuarantined", Subject: e.Entry.Fingerprint, Detail: e.Entry.String()})
+	case crashes.Learned:
+		n.metrics.Add("crashesLearned", int64(e.Crashes+e.Quarantined))
 	case crashes.Lifted:
 		n.ring.Add(explain.Record{At: now, Kind: "quarantineLifted", Subject: e.Fingerprint, Detail: "by the operator"})
 	case crashes.ReportFailed:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
@@ -61,6 +62,14 @@
 // if the settings name none.
 const defaultMemory = 256
 
+// catchUpTimeout bounds the time for which a node that starts waits for what others know of
+// crashes.
+const catchUpTimeout = 1 * time.Second
+
+// crashSyncInterval is the mean time between questions to other nodes for crashes that they
+// have recorded.
+const crashSyncInterval = 2 * time.Second
+
 // The shares of the process's descriptors for the connections on each listener, in
 // thirty-seconds. The rest is for files and for connections that the node opens.
 const callerShare, callShare, operatorShare = 12, 6, 1
@@ -186,7 +195,7 @@
 	n.homes.Handle(&mux)
 	n.view.Store(&fleet.View{})
 	n.monitor = &crashes.Monitor{
-		Server: n.cfg.Server.Address, Notify: n.recordCrashEvent, PeerAddrs: n.peerAddrs,
+		Server: n.cfg.Server.Address, Notify: n.recordCrashEvent, PeerAddrs: n.peerAddrs, SyncInterval: crashSyncInterval,
 		Node: func() string { return n.view.Load().Self().Id },
 	}
 	n.monitor.Handle(&mux)
@@ -237,11 +246,15 @@
 	n.log.WithFields(log.Fields{"reason": r.Reason, "client": r.Client, "headBytes": r.Head.Bytes, "headLines": r.Head.Lines}).Debug("clientRefused")
 }
 
-// becomeReady announces the node as ready once it has a version of the plans.
+// becomeReady announces the node as ready once it has a version of the plans and knows the
+// calls that crash servers.
 func (n *Node) becomeReady(ctx context.Context) error {
 	if _, err := n.plans.AtLeast(ctx, 1); err != nil {
 		return nil
 	}
+	limited, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	n.monitor.CatchUp(limited)
+	cancel()
 	n.members.SetState(messages.MemberStateReady)
 	return nil
 }
--- a/schema/messages/messages.gen.go
+++ b/schema/messages/messages.gen.go
@@ -139,7 +139,13 @@
 
 // Reports that a backend server crashed while it ran calls.
 type Crash struct {
-	// Number of crashes that the node has detected, including this one.
+	// Time in milliseconds since the crash.
+	AgeMs int `json:"ageMs,omitempty,omitzero" yaml:"ageMs,omitempty"`
+
+	// Random number of the node's process, of at most 53 bits.
+	Process uint64 `json:"process,omitempty,omitzero" yaml:"process,omitempty"`
+
+	// Number of crashes that the node's process has detected, including this one.
 	Sequence uint64 `json:"sequence" yaml:"sequence"`
 
 	// Node beside the backend server: its id in lavenderdeal, its name in
@@ -150,6 +156,18 @@
 	Suspects []Suspect `json:"suspects" yaml:"suspects"`
 }
 
+// Identifies a crash.
+type CrashKey struct {
+	// As in Crash.
+	Process uint64 `json:"process" yaml:"process"`
+
+	// As in Crash.
+	Sequence uint64 `json:"sequence" yaml:"sequence"`
+
+	// As in Crash.
+	Server string `json:"server" yaml:"server"`
+}
+
 // Replaces one hash in the list of the hashes of all chunks.
 type Edit struct {
 	// SHA-256 of the new chunk, in lower-case hex.
@@ -162,6 +180,29 @@
 // Response without content.
 type Empty map[string]interface{}
 
+// Response to an EvidenceQuestion, and new quarantined calls that a node tells
+// others of.
+type Evidence struct {
+	// Crashes of servers of the sender's service.
+	Crashes []Crash `json:"crashes,omitempty,omitzero" yaml:"crashes,omitempty"`
+
+	// Calls that the sender refuses.
+	Quarantined []Quarantined `json:"quarantined,omitempty,omitzero" yaml:"quarantined,omitempty"`
+}
+
+// Requests what the receiver knows of crashes and the sender does not.
+type EvidenceQuestion struct {
+	// The crashes that the sender knows.
+	Crashes []CrashKey `json:"crashes,omitempty,omitzero" yaml:"crashes,omitempty"`
+
+	// Fingerprints of the quarantined calls that the sender knows.
+	Quarantined []string `json:"quarantined,omitempty,omitzero" yaml:"quarantined,omitempty"`
+
+	// Whether the sender is beside a server of the receiver's service and requests
+	// crashes. Otherwise it requests only quarantined calls.
+	WantsCrashes bool `json:"wantsCrashes" yaml:"wantsCrashes"`
+}
+
 // Requests chunks of the lists of customers and of plans.
 type GetChunks struct {
 	// SHA-256 of each chunk, in lower-case hex.
@@ -445,6 +486,12 @@
 	// Empty corresponds to the JSON schema field "empty".
 	Empty Empty `json:"empty,omitempty,omitzero" yaml:"empty,omitempty"`
 
+	// Evidence corresponds to the JSON schema field "evidence".
+	Evidence *Evidence `json:"evidence,omitempty,omitzero" yaml:"evidence,omitempty"`
+
+	// EvidenceQuestion corresponds to the JSON schema field "evidenceQuestion".
+	EvidenceQuestion *EvidenceQuestion `json:"evidenceQuestion,omitempty,omitzero" yaml:"evidenceQuestion,omitempty"`
+
 	// GetChunks corresponds to the JSON schema field "getChunks".
 	GetChunks *GetChunks `json:"getChunks,omitempty,omitzero" yaml:"getChunks,omitempty"`
 
@@ -507,6 +554,24 @@
 	Version uint64 `json:"version" yaml:"version"`
 }
 
+// A call that is refused because it crashes backend servers.
+type Quarantined struct {
+	// Number of known calls with this fingerprint that were answered.
+	Answered int `json:"answered" yaml:"answered"`
+
+	// As in Suspect.
+	Fingerprint string `json:"fingerprint" yaml:"fingerprint"`
+
+	// Time in milliseconds for which the call is still refused.
+	LeftMs int `json:"leftMs" yaml:"leftMs"`
+
+	// Nodes beside the servers that crashed while the call ran.
+	Servers []string `json:"servers" yaml:"servers"`
+
+	// As in Suspect.
+	Subject string `json:"subject" yaml:"subject"`
+}
+
 // Response to ProbeFor.
 type Reached struct {
 	// Whether the target responded to the probe.
--- a/schema/messages/messages.go
+++ b/schema/messages/messages.go
@@ -3,7 +3,7 @@
 // generated from the JSON Schema in messages.schema.json.
 //
 // Package roster has the messages of the command lavenderdeald, which also uses Hello,
-// Crash and Empty of this package.
+// Empty, and the messages about crashes of this package.
 package messages
 
 //go:generate go tool go-jsonschema --only-models --struct-name-from-title --tags json,yaml -p messages -o messages.gen.go messages.schema.json
--- a/schema/roster/roster.gen.go
+++ b/schema/roster/roster.gen.go
@@ -257,11 +257,19 @@
 
 // Response to a SyncQuestion.
 type SyncAnswer struct {
+	// Hash of the crashes of servers of its service that the sender knows. Empty if
+	// there are none.
+	Crashes string `json:"crashes,omitempty,omitzero"`
+
 	// All entries if they were requested and the digests differ. Only the responding
 	// node's own entry if the requesting node knows another epoch of it. Otherwise
 	// absent.
 	Entries []Entry `json:"entries,omitempty,omitzero"`
 
+	// Hash of the quarantined requests that the sender knows. Empty if there are
+	// none.
+	Quarantined string `json:"quarantined,omitempty,omitzero"`
+
 	// Whether the digests are equal.
 	Same bool `json:"same"`
 
@@ -272,6 +280,10 @@
 // Compares the entries of two nodes and requests those that the requesting node
 // lacks.
 type SyncQuestion struct {
+	// Hash of the crashes of servers of its service that the sender knows. Empty if
+	// there are none.
+	Crashes string `json:"crashes,omitempty,omitzero"`
+
 	// Hash of the nodes, epochs and sequences of all entries that the requesting node
 	// has.
 	Digest string `json:"digest"`
@@ -289,6 +301,10 @@
 	// Name of the requesting node.
 	Node string `json:"node,omitempty,omitzero"`
 
+	// Hash of the quarantined requests that the sender knows. Empty if there are
+	// none.
+	Quarantined string `json:"quarantined,omitempty,omitzero"`
+
 	// Configuration version that the requesting node has applied.
 	Version int `json:"version"`
 }
