--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -639,6 +639,7 @@
 		s.abandoned.Add(time.Now(), id, deadline)
 	}
 	s.mu.Unlock()
+	s.logGivenUp(ctx, id, sentAt, err)
 	result := s.judge(ctx, id, m, answer, err)
 	if callRefused && result.Verdict == hop.Ran && answer.Status >= http.StatusInternalServerError {
 		result.Rule = RuleCallRefused
@@ -650,6 +651,20 @@
 	return result, answer
 }
 
+// logGivenUp logs a request that was given up after it had been sent to the server. Over a new
+// connection that the server has not accepted, or one that it does not read, it may reach the
+// server later.
+func (s *Server) logGivenUp(ctx context.Context, id string, sentAt time.Time, err error) {
+	var e *http1.Error
+	if ctx.Err() == nil || !errors.As(err, &e) || !e.MayHaveSent || !s.log.Allow("givenUpAtServer") {
+		return
+	}
+	s.log.Write("givenUpAtServer", log.Fields{
+		"request": id, "newConnection": e.IsNewConnection, "connectionAgeMs": e.ConnectionAge.Milliseconds(),
+		"sentMs": time.Since(sentAt).Milliseconds(), "error": ctx.Err(),
+	})
+}
+
 // judge returns the result of a request that was sent to the server.
 func (s *Server) judge(ctx context.Context, id string, m heartbeats.Message, answer *http1.Response, err error) hop.Result {
 	if err != nil {
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -151,7 +151,11 @@
 type Error struct {
 	// MayHaveSent is set if the request may have reached the server.
 	MayHaveSent bool
-	cause       error
+	// IsNewConnection is set if no request was sent over the connection before, and
+	// ConnectionAge is the time since it was opened. They are valid if MayHaveSent is set.
+	IsNewConnection bool
+	ConnectionAge   time.Duration
+	cause           error
 }
 
 // MayHaveSent returns true if the request may have reached the server, given the error of
@@ -244,8 +248,10 @@
 	bound *boundedReader
 	// buf is reused to encode the head and a short body of each request.
 	buf []byte
+	// opened is when the connection was opened.
+	opened time.Time
 	// idleSince is when the connection became idle, and idleTimeout how long it may stay
-	// idle.
+	// idle. idleSince is zero before the first request has been answered.
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
@@ -330,7 +336,10 @@
 			err = errors.Mark(errors.Wrap(err, invalid.Error()), httpcheck.ErrMalformed)
 		}
 		_ = c.Close()
-		return nil, &Error{MayHaveSent: !errors.Is(err, errNoBody), cause: err}
+		return nil, &Error{
+			MayHaveSent: !errors.Is(err, errNoBody), IsNewConnection: c.idleSince.IsZero(), ConnectionAge: time.Since(c.opened),
+			cause: err,
+		}
 	}
 	if !reuse || !p.put(to, c, r.NewConnection) {
 		_ = c.Close()
@@ -540,7 +549,7 @@
 		return nil, err
 	}
 	bound := &boundedReader{conn: raw, socket: socket.Of(raw)}
-	c := &conn{Conn: raw, bound: bound, reader: bufio.NewReaderSize(bound, bufferSize)}
+	c := &conn{Conn: raw, opened: time.Now(), bound: bound, reader: bufio.NewReaderSize(bound, bufferSize)}
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		if c.raw, err = tcp.SyscallConn(); err != nil {
 			_ = raw.Close()
