--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -182,7 +182,7 @@
 func Start(cfg settings.Settings, l *jsonlog.Log) (*Node, error) {
 	n := &Node{
 		cfg: cfg, log: l, clientMemory: httpserver.NewMemory(cfg.Memory),
-		serverPool: http1.New(http1.WithBodyMemory(bodyMemory(cfg.Memory))),
+		serverPool: http1.New(http1.WithBodyMemory(bodyMemory(cfg.Memory)), http1.WithReset()),
 		store:      store.New(cfg.Store, store.WithEra(platform.ReadStoreEra)),
 	}
 	n.monitor = &crashes.Monitor{
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -178,6 +178,8 @@
 	// each.
 	bodyMemory int64
 	bodyBytes  atomic.Int64
+	// resets is set if the connections of requests that are given up are reset.
+	resets bool
 
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*conn
@@ -192,6 +194,13 @@
 // beyond 64 KiB each. An answer that needs more is an error.
 func WithBodyMemory(n int64) Option { return func(p *Pool) { p.bodyMemory = n } }
 
+// WithReset resets the connection of a request that is given up, in place of an orderly close.
+// An orderly close delivers what was written before, however late: over a connection that
+// the server has not accepted, the request arrives together with the end of the connection.
+// A reset is sent only once, so it is not for links that lose packets: a server that does not
+// receive it works on.
+func WithReset() Option { return func(p *Pool) { p.resets = true } }
+
 // boundedReader reads from a connection until a number of bytes is used up.
 type boundedReader struct {
 	conn   net.Conn
@@ -322,7 +331,7 @@
 	if err != nil {
 		return nil, &Error{cause: errors.Wrap(err, "connect")}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, func() { p.abandon(c) })
 	answer, reuse, err := p.exchange(c, r)
 	if !stop() {
 		reuse = false
@@ -347,6 +356,15 @@
 	return answer, nil
 }
 
+// abandon closes the connection of a request that is given up.
+func (p *Pool) abandon(c *conn) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && p.resets {
+		// An error means that the connection is closed.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // exchange sends the request and returns its answer and whether the connection can be
 // reused.
 func (p *Pool) exchange(c *conn, r *Request) (*Response, bool, error) {
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -10,9 +10,11 @@
 	"net/netip"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"lavenderdeal/internal/standin/malformed"
@@ -657,3 +659,39 @@
 		assertBody(t, a, err, fmt.Sprint(i))
 	}
 }
+
+// Guards against a request that reaches a server long after its caller has left (GONE): an
+// orderly close delivers what was written before.
+func TestGivenUpRequestIsReset(t *testing.T) {
+	for name, c := range map[string]struct {
+		opts []http1.Option
+		want error
+	}{
+		"with a reset":    {[]http1.Option{http1.WithReset()}, syscall.ECONNRESET},
+		"without a reset": {nil, io.EOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			running, ended := make(chan struct{}), make(chan error, 1)
+			addr := serve(t, func(conn net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				close(running)
+				_, err := r.ReadByte()
+				ended <- err
+			})
+			p := http1.New(c.opts...)
+			t.Cleanup(p.Close)
+			ctx, cancel := context.WithCancel(t.Context())
+			var group errgroup.Group
+			group.Go(func() error {
+				_, err := p.Do(ctx, addr, request("given up"))
+				return err
+			})
+			<-running
+			cancel()
+			assertSent(t, group.Wait(), true)
+			if err := <-ended; !errors.Is(err, c.want) {
+				t.Fatalf("the server got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
