--- a/internal/mesh/gone_test.go
+++ b/internal/mesh/gone_test.go
@@ -215,3 +215,68 @@
 	a, err = call("other.call")
 	assertStatus(t, a, err, http.StatusOK)
 }
+
+// Guards against calls that go on after their request was given up (GONE): they were let in
+// before, and a server that does not notice the end of its connection keeps theirs open.
+func TestCallsEndWithParent(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		// slots is the number of requests that the server of the calls runs at once.
+		slots int
+	}{
+		{"a call runs", 4},
+		{"a call waits for a slot", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t)
+			near, far := f.add("a", "bookings", c.slots), f.add("b", "availability", 4)
+			near.sendHeartbeat(t, "ready")
+			far.sendHeartbeat(t, "ready")
+			f.waitServed(near, "/stock/1")
+			f.waitServed(far, "/booking/1")
+			parentRuns, release := make(chan struct{}), make(chan struct{})
+			far.server.SetAnswer(func(_ http.ResponseWriter, r *http.Request) bool {
+				if r.Header.Get("Request-Id") == "parent" {
+					close(parentRuns)
+					<-release
+				}
+				return false
+			})
+			running, ended := make(chan string, 10), make(chan string, 10)
+			near.server.SetAnswer(func(_ http.ResponseWriter, r *http.Request) bool {
+				running <- r.Header.Get("Request-Id")
+				<-r.Context().Done()
+				ended <- r.Header.Get("Request-Id")
+				panic(http.ErrAbortHandler)
+			})
+			defer close(release)
+			if c.slots == 1 {
+				open(t, near.cfg.Listen.Caller, requestOf(http.MethodPost, "/booking/1", http.Header{"Request-Id": {"other"}, "Deadline-Ms": {"5000"}}, "", false))
+				<-running
+			}
+			parent := open(t, near.cfg.Listen.Caller, requestOf(http.MethodGet, "/stock/1", http.Header{"Request-Id": {"parent"}, "Deadline-Ms": {"5000"}}, "", false))
+			<-parentRuns
+			open(t, far.cfg.Listen.Caller, requestOf(http.MethodPost, "/booking/1", http.Header{"Request-Id": {"parent.call"}, "Deadline-Ms": {"5000"}}, "", false))
+			if c.slots > 1 {
+				<-running
+			} else {
+				f.eventually("the call waits", func() bool { return metric(t, near.cfg.Listen.Metrics, "server_queued") == "1" })
+			}
+			_ = parent.Close()
+			left := time.Now()
+			if c.slots > 1 {
+				select {
+				case <-ended:
+				case <-time.After(limit):
+					t.Fatalf("the call runs on %s after its request was given up", limit)
+				}
+				return
+			}
+			f.eventually("the call waits no more", func() bool { return metric(t, near.cfg.Listen.Metrics, "server_queued") == "0" })
+			if took := time.Since(left); took > limit {
+				t.Fatalf("the call waited for %s after its request was given up, want at most %s", took, limit)
+			}
+		})
+	}
+}
--- a/internal/mesh/local/local.go
+++ b/internal/mesh/local/local.go
@@ -124,6 +124,10 @@
 	// a run of such a request.
 	Repeated bool
 
+	// GivenUp ends when the request is given up while the server runs it, by giveUp.
+	GivenUp context.Context
+	giveUp  context.CancelFunc
+
 	// callRefused is the service of the last call that was refused, or empty if the server
 	// has made it again with success.
 	callRefused string
@@ -628,7 +632,9 @@
 		return *notRun(RuleWithdrawn, 0), nil
 	}
 	s.abandoned.Remove(id)
-	s.parents[id] = Parent{Rank: c.Rank, Target: time.Now().Add(c.Target), Deadline: deadline, Repeated: c.Repeated}
+	givenUp, giveUp := context.WithCancel(context.Background())
+	running := Parent{Rank: c.Rank, Target: time.Now().Add(c.Target), Deadline: deadline, Repeated: c.Repeated, GivenUp: givenUp, giveUp: giveUp}
+	s.parents[id] = running
 	s.mu.Unlock()
 	sentAt := time.Now()
 	answer, err := s.pool.Do(ctx, m.Address, &sent)
@@ -637,6 +643,7 @@
 	delete(s.parents, id)
 	if err != nil && ctx.Err() != nil {
 		s.abandoned.Add(time.Now(), id, deadline)
+		running.giveUp()
 	}
 	s.mu.Unlock()
 	s.logGivenUp(ctx, id, sentAt, err)
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -358,8 +358,9 @@
 	inner bool
 	// repeated is set if the request is a call of a run of a repeated request.
 	repeated bool
-	// parent is the ID of that request.
-	parent string
+	// parent is the ID of that request, and givenUp ends when it is given up.
+	parent  string
+	givenUp context.Context
 	// onTrial is set if the request is for servers whose version is on trial.
 	onTrial bool
 	// attempt identifies the request if it is refused and the caller retries it.
@@ -440,6 +441,9 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	defer context.AfterFunc(p.running, cancel)()
+	if q.inner {
+		defer context.AfterFunc(q.givenUp, cancel)()
+	}
 	if failed := p.takeLimit(ctx, q); failed != nil {
 		p.writeRefusal(r.Context(), w, q, *failed)
 		return
@@ -456,6 +460,8 @@
 	switch {
 	case r.Context().Err() != nil, q.caller.unnoticed:
 		o.rule = local.RuleCallerLeft
+	case q.inner && q.givenUp.Err() != nil:
+		o.rule = ruleParentAbandoned
 	case p.running.Err() != nil:
 		o.rule = ruleStopping
 	}
@@ -513,7 +519,7 @@
 		// If the call fails, the parent's slot and work are wasted. So the call has
 		// at least the parent's priority, and its target is not before the
 		// parent's.
-		q.inner, q.repeated, q.parent = true, parent.Repeated, in.Parent
+		q.inner, q.repeated, q.parent, q.givenUp = true, parent.Repeated, in.Parent, parent.GivenUp
 		q.rank = min(q.rank, parent.Rank)
 		q.target = later(q.target, parent.Target)
 	}
