--- a/core/heartbeats/heartbeats.go
+++ b/core/heartbeats/heartbeats.go
@@ -21,6 +21,11 @@
 // next. A server that announced that it is leaving stays leaving until it is started
 // again.
 //
+// The clock of a server may jump back between two starts, so that the later run has the earlier
+// start time. Such a run takes the place of the known one when it has sent several messages over
+// a while and the known run none. Until then its messages are ignored, and those by which it
+// leaves are not acknowledged.
+//
 // # Next process
 //
 // A new process of the node does not know whether its server has announced to an earlier
@@ -44,6 +49,11 @@
 	// and its node. Leave allows for it, so that a later run with the same id is
 	// not recorded as ended.
 	clockError = 3 * time.Second
+	// A run with an earlier start time than the known one is taken for a later run after
+	// minEarlierMessages in a row, the last one minEarlierTime after the first. Messages of a
+	// run that has ended arrive late within seconds, but not at intervals.
+	minEarlierMessages = 3
+	minEarlierTime     = 1 * time.Second
 )
 
 // Message is a heartbeat of a server.
@@ -100,6 +110,18 @@
 	// drainEnd is the time until which a leaving server takes requests.
 	drainEnd time.Time
 	ended    []endedRun
+	// earlier is the run with an earlier start time that sends messages, if earlier.count is
+	// not 0.
+	earlier earlierRun
+}
+
+// earlierRun counts the messages of a run since the last message of the known one.
+type earlierRun struct {
+	id       string
+	started  time.Time
+	first    time.Time
+	count    int
+	sequence uint64
 }
 
 // endedRun identifies a run of the server's process that has ended.
@@ -145,17 +167,21 @@
 	case m.Slots < 1:
 		return Rejected{Reason: "no slots"}
 	}
-	if s.hasEnded(m) {
+	same := s.known && m.ID == s.latest.ID && m.Started.Equal(s.latest.Started)
+	if !same && s.hasEnded(m) {
 		return Ignored{}
 	}
 	if s.known {
-		if m.Started.Before(s.latest.Started) {
+		if m.Started.Before(s.latest.Started) && !s.isLaterRun(now, m) {
+			if m.Leaving && m.ID == s.latest.ID {
+				return Rejected{Reason: "another run of the server is known"}
+			}
 			return Ignored{}
 		}
-		same := m.ID == s.latest.ID && m.Started.Equal(s.latest.Started)
 		if same && m.Sequence <= s.latest.Sequence {
 			return Ignored{}
 		}
+		s.earlier = earlierRun{}
 		if same {
 			return s.update(now, m)
 		}
@@ -172,6 +198,24 @@
 	return Accepted{Changed: true}
 }
 
+// isLaterRun counts a message with an earlier start time than that of the known run. It returns
+// true if the message is nevertheless from a later run under the same id.
+func (s *Server) isLaterRun(now time.Time, m Message) bool {
+	if m.ID != s.latest.ID {
+		return false
+	}
+	e := &s.earlier
+	if e.count == 0 || e.id != m.ID || !e.started.Equal(m.Started) {
+		*e = earlierRun{id: m.ID, started: m.Started, first: now}
+	}
+	if e.count > 0 && m.Sequence <= e.sequence {
+		return false
+	}
+	e.sequence = m.Sequence
+	e.count++
+	return e.count >= minEarlierMessages && now.Sub(e.first) >= minEarlierTime
+}
+
 // update processes a newer message of the current run.
 func (s *Server) update(now time.Time, m Message) Outcome {
 	changed := m.Slots != s.latest.Slots
@@ -258,15 +302,13 @@
 	s.ended = append(s.ended, run)
 }
 
-// hasEnded reports whether the message is from a run that has ended. A server
-// without a start time is identified by its id alone.
+// hasEnded reports whether the message is from a run that has ended. A run that has announced
+// its end is identified by its id and every start time up to the known one, and one that was
+// replaced by its own start time. A server without a start time is identified by its id alone.
 func (s *Server) hasEnded(m Message) bool {
-	for _, e := range s.ended {
-		if e.id == m.ID && !m.Started.After(e.started) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.ended, func(e endedRun) bool {
+		return e.id == m.ID && (m.Started.Equal(e.started) || !e.replaced && m.Started.Before(e.started))
+	})
 }
 
 func (Accepted) implementsOutcome() {}
