--- a/internal/mesh/members/discover.go
+++ b/internal/mesh/members/discover.go
@@ -269,12 +269,6 @@
 	}
 	m.mu.Lock()
 	own := m.roster.Own()
-	switch {
-	case slices.ContainsFunc(all, func(e messages.Entry) bool { return e.Node != own.Node }):
-		m.onlyListed = time.Time{}
-	case m.onlyListed.IsZero():
-		m.onlyListed = time.Now()
-	}
 	earlier := slices.DeleteFunc(slices.Clone(all), func(e messages.Entry) bool { return e.Node != own.Node || e.Epoch == own.Epoch })
 	unknown := slices.DeleteFunc(slices.Clone(all), func(e messages.Entry) bool {
 		epoch, gone := m.forgotten[e.Node]
--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -136,8 +136,6 @@
 	stopped bool
 	// listed is set once the store has listed the nodes.
 	listed bool
-	// onlyListed is the time since which the store has listed no other node, or zero.
-	onlyListed time.Time
 	// listCount counts the listings of nodes in the store.
 	listCount int
 	// plan holds the configuration versions that other nodes have announced and that are
@@ -312,17 +310,6 @@
 	return addrs
 }
 
-// OnlyListedFor returns for how long the store has listed no other node, or 0 if it has listed
-// one.
-func (m *Members) OnlyListedFor() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.onlyListed.IsZero() {
-		return 0
-	}
-	return time.Since(m.onlyListed)
-}
-
 // Entries returns the entries of all known nodes, sorted by node.
 func (m *Members) Entries() []messages.Entry {
 	m.mu.Lock()
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -66,10 +66,6 @@
 	// probed, by elsewhereMargin.
 	aloneTime       = 10 * time.Second
 	elsewhereMargin = 600 * time.Millisecond
-	// survivorTime is how long the store has listed no other node before one that has forgotten
-	// all others is taken for the last one. A running node whose object is missing writes it
-	// again within 18 s.
-	survivorTime = 30 * time.Second
 	// candidates is the number of nodes that may be the home of an account.
 	candidates = 3
 	// deputyPart is the part of the rate for a home that is not the first candidate, as
@@ -429,9 +425,7 @@
 }
 
 // isAloneLocked reports whether no other node of the zone is in touch. If none was for a while,
-// it probes one, preferably one that is not known to be silent. When all of them have been
-// forgotten, the node stays alone: it may be what cannot be reached. It is the last one of its
-// zone once the store has listed no other node for a while.
+// it probes one, preferably one that is not known to be silent.
 func (q *Quota) isAloneLocked(now time.Time) bool {
 	if now.Sub(q.contact) < contactTime {
 		return false
@@ -451,7 +445,7 @@
 			others = silent
 		}
 		if len(others) == 0 {
-			return q.lonely > maxLonely && q.members.OnlyListedFor() < survivorTime
+			return false
 		}
 		q.lonelyAt = now
 		q.lonely++
