--- a/core/heartbeats/heartbeats.go
+++ b/core/heartbeats/heartbeats.go
@@ -110,14 +110,13 @@
 	// drainEnd is the time until which a leaving server takes requests.
 	drainEnd time.Time
 	ended    []endedRun
-	// earlier is the run with an earlier start time that sends messages, if earlier.count is
-	// not 0.
+	// earlier is the run under the known id with an earlier start time that sends messages, if
+	// earlier.count is not 0.
 	earlier earlierRun
 }
 
 // earlierRun counts the messages of a run since the last message of the known one.
 type earlierRun struct {
-	id       string
 	started  time.Time
 	first    time.Time
 	count    int
@@ -205,8 +204,8 @@
 		return false
 	}
 	e := &s.earlier
-	if e.count == 0 || e.id != m.ID || !e.started.Equal(m.Started) {
-		*e = earlierRun{id: m.ID, started: m.Started, first: now}
+	if e.count == 0 || !e.started.Equal(m.Started) {
+		*e = earlierRun{started: m.Started, first: now}
 	}
 	if e.count > 0 && m.Sequence <= e.sequence {
 		return false
--- a/internal/mesh/members/members.go
+++ b/internal/mesh/members/members.go
@@ -232,7 +232,7 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		a := messages.SyncAnswer{Version: int(m.versions.Version()), Same: q.Digest == m.roster.Digest(), Quarantined: quarantined, Crashes: crashes}
-		if from, ok := m.roster.Get(q.Node); ok && !m.stopped && (q.Quarantined != quarantined || q.Crashes != crashes) {
+		if from, ok := m.roster.Get(q.Node); ok && !m.stopped && m.endpoint != nil && (q.Quarantined != quarantined || q.Crashes != crashes) {
 			m.group.Go(func() error {
 				m.evidence.Compare(m.ctx, from, q.Quarantined, q.Crashes)
 				return nil
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -684,21 +684,13 @@
 func TestCrashingRequest(t *testing.T) {
 	// minCrashes is the number of servers that must crash before a request is
 	// quarantined. The test allows one more.
-	const poison, minCrashes = "/stock/poison", 2
+	const minCrashes = 2
 	f := newFleet(t)
 	near := f.add("a", "bookings", 4)
 	near.sendHeartbeat(t, "ready")
 	var servers []*member
 	for range 4 {
-		m := f.add("b", "availability", 4)
-		m.server.SetAnswer(func(_ http.ResponseWriter, r *http.Request) bool {
-			if r.URL.Path == poison {
-				go m.server.Close()
-				<-r.Context().Done()
-				panic(http.ErrAbortHandler)
-			}
-			return false
-		})
+		m := f.addCrashing("b")
 		m.sendHeartbeat(t, "ready")
 		servers = append(servers, m)
 	}
@@ -707,17 +699,7 @@
 		f.eventually("all nodes are known", func() bool { return m.node.NodeCount() == len(f.nodes) })
 	}
 	f.waitServed(near, "/stock/1")
-	runs := func() int {
-		n := 0
-		for _, m := range servers {
-			for _, r := range m.server.Runs() {
-				if r.URI == poison {
-					n++
-				}
-			}
-		}
-		return n
-	}
+	runs := func() int { return poisonRuns(servers...) }
 	f.eventually("the crashing request is refused as not run", func() bool {
 		a, err := f.call(near, http.MethodGet, poison, "")
 		if err != nil {
--- a/internal/mesh/quarantine_test.go
+++ b/internal/mesh/quarantine_test.go
@@ -8,9 +8,9 @@
 // poison is the path of a request that crashes each server that runs it.
 const poison = "/stock/poison"
 
-// addCrashing adds a node whose server crashes when it runs the poison.
-func (f *fleet) addCrashing(zone, service string) *member {
-	m := f.add(zone, service, 4)
+// addCrashing adds a node whose server of availability crashes when it runs the poison.
+func (f *fleet) addCrashing(zone string) *member {
+	m := f.add(zone, "availability", 4)
 	m.server.SetAnswer(func(_ http.ResponseWriter, r *http.Request) bool {
 		if r.URL.Path == poison {
 			go m.server.Close()
@@ -43,7 +43,7 @@
 	f = newFleet(t)
 	near = f.add("a", "bookings", 4)
 	near.sendHeartbeat(t, "ready")
-	last = f.addCrashing("c", "availability")
+	last = f.addCrashing("c")
 	if change != nil {
 		f.kill(last)
 		change(last)
@@ -51,7 +51,7 @@
 	}
 	var others []*member
 	for range 3 {
-		m := f.addCrashing("a", "availability")
+		m := f.addCrashing("a")
 		m.sendHeartbeat(t, "ready")
 		others = append(others, m)
 	}
@@ -107,7 +107,7 @@
 	t.Run("a node was added", func(t *testing.T) {
 		t.Parallel()
 		f, _, _ := newPoisoned(t, nil)
-		added := f.addCrashing("d", "availability")
+		added := f.addCrashing("d")
 		added.sendHeartbeat(t, "ready")
 		f.waitServed(added, "/stock/1")
 		f.assertQuarantine(added)
